--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+export PYTHONPATH := src:.
+export UV_USE_IO_URING := 0
+
+.PHONY: all venv test unit lint format demo bench binary clean
+
+all: test
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+lint: venv
+	$(VENV)/bin/ruff format --check --quiet src tests bench tools
+	$(VENV)/bin/flake8 src tests bench tools
+	$(VENV)/bin/mypy
+
+format: venv
+	$(VENV)/bin/ruff format --quiet src tests bench tools
+
+unit: venv
+	$(PY) tools/run_tests.py $(TESTS)
+
+test: lint unit
+
+demo: venv
+	$(PY) -m poplardrum demo
+
+bench: venv
+	$(PY) -m bench
+
+binary: venv
+	$(PY) tools/build_binary.py
+
+clean:
+	rm -rf .venv build dist .mypy_cache .ruff_cache
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of `make bench`."""
--- /dev/null
+++ b/src/poplardrum/__main__.py
@@ -0,0 +1,6 @@
+"""Run the command line with `python -m poplardrum`."""
+
+from poplardrum import cli
+
+if __name__ == '__main__':
+    cli.main()
--- /dev/null
+++ b/src/poplardrum/callers/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers."""
--- /dev/null
+++ b/src/poplardrum/callers/replies.py
@@ -0,0 +1,138 @@
+"""HTTP replies to callers: each has a code and a verdict."""
+
+import math
+import typing
+
+import msgspec
+from aiohttp import web
+
+from poplardrum import errors, ids
+from poplardrum.peers import messages
+
+_BAD_GATEWAY: typing.Final = 502
+STATUS: typing.Final[typing.Mapping[errors.Code, int]] = {
+    errors.Code.ok: 200,
+    errors.Code.accepted: 202,
+    errors.Code.bad_request: 400,
+    errors.Code.rules: 400,
+    errors.Code.unknown_credential: 401,
+    errors.Code.unknown_job: 404,
+    errors.Code.key_reused: 409,
+    errors.Code.conflict: 409,
+    errors.Code.too_large: 413,
+    errors.Code.too_many_tasks: 413,
+    errors.Code.quota: 429,
+    errors.Code.overload: 429,
+    errors.Code.internal: 500,
+    errors.Code.unavailable: 503,
+    errors.Code.no_configuration: 503,
+    errors.Code.stopping: 503,
+    errors.Code.records_full: 503,
+    errors.Code.platform: 503,
+    errors.Code.deadline: 504,
+}
+
+
+class TaskReply(msgspec.Struct, frozen=True):
+    """End of one task as its caller sees it.
+
+    `safe_to_resubmit` tells whether the task may be submitted again under a
+    new key without running a non-idempotent request twice.
+    """
+
+    code: str
+    verdict: str
+    output: str
+    worker: str
+    seconds: float
+    safe_to_resubmit: bool
+
+
+class JobReplyBody(msgspec.Struct, frozen=True):
+    """Body of every reply about a job."""
+
+    key: str
+    job: str
+    state: str
+    code: str
+    verdict: str
+    message: str
+    retry_after_ms: int | None
+    tasks: list[TaskReply]
+
+
+def from_answer(
+    answer: messages.Answer,
+    key: ids.IdempotencyKey,
+    idempotent: list[bool],
+) -> web.Response:
+    """Build the reply for a coordinator's answer."""
+    flags = idempotent or [False for _ in answer.tasks]
+    body = JobReplyBody(
+        key=key,
+        job=answer.job,
+        state=_state(answer.code),
+        code=answer.code.value,
+        verdict=answer.verdict.value,
+        message=answer.message,
+        retry_after_ms=_milliseconds(answer.retry_after),
+        tasks=[
+            _task(outcome, safe_flag)
+            for outcome, safe_flag in zip(answer.tasks, flags, strict=True)
+        ],
+    )
+    return _response(answer.code, body, answer.retry_after)
+
+
+def from_error(error: errors.PoplardrumError, key: str = '') -> web.Response:
+    """Build the reply for a request that was refused or has failed."""
+    body = JobReplyBody(
+        key=key,
+        job='',
+        state='failed',
+        code=error.code.value,
+        verdict=error.verdict.value,
+        message=error.message,
+        retry_after_ms=_milliseconds(error.retry_after),
+        tasks=[],
+    )
+    return _response(error.code, body, error.retry_after)
+
+
+def _response(
+    code: errors.Code,
+    body: JobReplyBody,
+    retry_after: float | None,
+) -> web.Response:
+    headers = {}
+    if retry_after is not None:
+        headers['Retry-After'] = str(max(1, math.ceil(retry_after)))
+    return web.Response(
+        body=msgspec.json.encode(body),
+        status=STATUS.get(code, _BAD_GATEWAY),
+        content_type='application/json',
+        headers=headers,
+    )
+
+
+def _task(outcome: messages.TaskOutcome, idempotent: bool) -> TaskReply:
+    return TaskReply(
+        code=outcome.code.value,
+        verdict=outcome.verdict.value,
+        output=outcome.output,
+        worker=outcome.worker,
+        seconds=round(outcome.seconds, 4),
+        safe_to_resubmit=(
+            idempotent or outcome.verdict is errors.Verdict.not_run
+        ),
+    )
+
+
+def _state(code: errors.Code) -> str:
+    if code is errors.Code.ok:
+        return 'complete'
+    return 'running' if code is errors.Code.accepted else 'failed'
+
+
+def _milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else math.ceil(seconds * 1000)
--- /dev/null
+++ b/src/poplardrum/callers/requests.py
@@ -0,0 +1,142 @@
+"""Checks of callers' requests."""
+
+import hashlib
+import json
+import re
+import typing
+
+import msgspec
+
+from poplardrum import errors, ids, settings
+from poplardrum.operators import rules
+from poplardrum.peers import messages
+
+_KEY: typing.Final = re.compile(r'[!-~]+')
+_NAME_PATTERN: typing.Final = r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$'
+_STRING: typing.Final = re.compile(rb'"(?:[^"\\]|\\.)*"')
+_BRACKET: typing.Final = re.compile(rb'[\[\]{}]')
+_MAX_MS: typing.Final = 3_600_000
+
+Name = typing.Annotated[str, msgspec.Meta(pattern=_NAME_PATTERN)]
+Milliseconds = typing.Annotated[float, msgspec.Meta(gt=0, le=_MAX_MS)]
+
+
+class TaskBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One task in the body of a submission."""
+
+    kind: Name
+    payload: str = ''
+    declared_ms: Milliseconds | None = None
+    idempotent: bool = False
+
+
+class JobBody(
+    msgspec.Struct,
+    frozen=True,
+    forbid_unknown_fields=True,
+    rename={'job_class': 'class'},
+):
+    """Body of `POST /v1/jobs`."""
+
+    tasks: typing.Annotated[list[TaskBody], msgspec.Meta(min_length=1)]
+    job_class: Name = 'default'
+    deadline_ms: Milliseconds | None = None
+    wait: bool = True
+
+
+def authenticate(
+    header: str | None,
+    current: rules.Rules,
+) -> ids.TenantName:
+    """Return the tenant of a bearer credential; raise if it is unknown."""
+    scheme, _, credential = (header or '').partition(' ')
+    digest = hashlib.sha256(credential.strip().encode()).hexdigest()
+    if scheme.lower() == 'bearer':
+        for tenant, rule in current.tenants.items():
+            if rule.credential_sha256 == digest:
+                return tenant
+    raise errors.refusal(
+        errors.Code.unknown_credential,
+        'the Authorization header names no known tenant',
+    )
+
+
+def check_key(text: str, limit: int) -> ids.IdempotencyKey:
+    """Check an idempotency key of printable ASCII."""
+    if len(text) > limit or not _KEY.fullmatch(text):
+        raise errors.refusal(
+            errors.Code.bad_request,
+            f'Idempotency-Key: expected 1 to {limit} printable characters',
+        )
+    return ids.IdempotencyKey(text)
+
+
+def read_job(body: bytes, limits: settings.Limits) -> JobBody:
+    """Decode and check a submission; raise an error that names the field."""
+    _check_nesting(body, limits.nesting)
+    try:
+        job = msgspec.json.decode(body, type=JobBody)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise errors.refusal(errors.Code.bad_request, str(error)) from None
+    if len(job.tasks) > limits.tasks:
+        raise errors.refusal(
+            errors.Code.too_many_tasks,
+            f'tasks: {len(job.tasks)} given, {limits.tasks} allowed',
+        )
+    for index, task in enumerate(job.tasks):
+        if len(task.payload) > limits.payload:
+            raise errors.refusal(
+                errors.Code.too_large,
+                f'tasks[{index}].payload: over {limits.payload} characters',
+            )
+    return job
+
+
+def digest_of(body: bytes) -> bytes:
+    """Return the digest that tells a resubmission from another job.
+
+    Whether the caller waits does not change the job, so it is left out.
+    """
+    job = msgspec.json.decode(body, type=JobBody)
+    fields = msgspec.json.encode(msgspec.structs.replace(job, wait=True))
+    return hashlib.blake2b(fields, digest_size=16).digest()
+
+
+def task_specs(job: JobBody, current: rules.Rules) -> list[messages.TaskSpec]:
+    """Return the tasks with the declared time of their kind filled in."""
+    return [
+        messages.TaskSpec(
+            ids.KindName(task.kind),
+            task.payload,
+            task.declared_ms or declared_ms(task.kind, current),
+            task.idempotent,
+        )
+        for task in job.tasks
+    ]
+
+
+def declared_ms(kind: str, current: rules.Rules) -> float:
+    """Return the usual time of a kind in milliseconds."""
+    rule = current.kinds.get(ids.KindName(kind), rules.KindRule())
+    return rule.declared * 1000
+
+
+def _check_nesting(body: bytes, limit: int) -> None:
+    # Brackets inside strings do not nest.
+    outside = _STRING.sub(b'', body)
+    depth = 0
+    for bracket in _BRACKET.findall(outside):
+        depth += 1 if bracket in b'[{' else -1
+        if depth > limit:
+            raise errors.refusal(
+                errors.Code.bad_request,
+                f'body: nested more than {limit} deep',
+            )
+
+
+def read_json(body: bytes, kind: type[typing.Any]) -> typing.Any:
+    """Decode an operator's body; raise an error that names the field."""
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except (msgspec.DecodeError, json.JSONDecodeError) as error:
+        raise errors.refusal(errors.Code.bad_request, str(error)) from None
--- /dev/null
+++ b/src/poplardrum/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Plain functions behind the commands of the command line."""
--- /dev/null
+++ b/src/poplardrum/commands/processes.py
@@ -0,0 +1,85 @@
+"""Run the long-lived processes on uvloop."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import typing
+
+import uvloop
+
+from poplardrum import ini, logs, settings
+
+
+def run_loop(main: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
+    """Run `main` on uvloop with its use of io_uring switched off.
+
+    io_uring is not allowed on the hosts; libuv reads the variable when the
+    first loop starts.
+    """
+    os.environ['UV_USE_IO_URING'] = '0'
+    uvloop.run(main)
+
+
+def run_entry(path: pathlib.Path) -> int:
+    """Run an entry; raise `settings` errors before anything starts."""
+    from poplardrum.daemons import entry
+
+    config = settings.load(path)
+    logs.configure(config.logs)
+    run_loop(entry.run(config))
+    return 0
+
+
+def run_agent(path: pathlib.Path) -> int:
+    """Run an agent; raise `settings` errors before anything starts."""
+    from poplardrum.daemons import agent
+
+    config = settings.load(path)
+    logs.configure(config.logs)
+    run_loop(agent.run(config))
+    return 0
+
+
+def run_stand_in(
+    kind: str,
+    listen: str,
+    agent: str,
+    slots: int,
+    speed: float,
+) -> int:
+    """Run a stand-in until a stop signal."""
+    logs.configure(settings.Logs('WARNING', 'text'))
+    run_loop(_stand_in(kind, listen, agent, slots, speed))
+    return 0
+
+
+async def _stand_in(
+    kind: str,
+    listen: str,
+    agent: str,
+    slots: int,
+    speed: float,
+) -> None:
+    from aiohttp import web
+
+    from poplardrum.daemons import signals
+    from poplardrum.standins import endpoint, platform
+
+    stopping = asyncio.Event()
+    signals.install(stopping)
+    async with contextlib.AsyncExitStack() as stack:
+        if kind == 'platform':
+            app = platform.PlatformStandIn().application()
+        else:
+            stand_in = endpoint.EndpointStandIn(listen, slots, speed)
+            app = stand_in.application()
+            task = asyncio.ensure_future(
+                endpoint.announce(stand_in, listen, agent),
+            )
+            stack.callback(task.cancel)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, *ini.address(listen)).start()
+        await stopping.wait()
--- /dev/null
+++ b/src/poplardrum/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about membership, submissions and versions, free of I/O."""
--- /dev/null
+++ b/src/poplardrum/coordination/views.py
@@ -0,0 +1,80 @@
+"""Membership view of one process and the rank of agents for a key."""
+
+import hashlib
+import typing
+
+from poplardrum import ids
+from poplardrum.peers import messages
+
+
+class View:
+    """Merge what peers and the platform say about members.
+
+    Of two statements about one id, the one with the higher version wins; a
+    process sets the version of its own entry and raises it on each change.
+    """
+
+    def __init__(self, own: messages.Member) -> None:
+        """Start with the process itself."""
+        self.own = own
+        self.by_id: dict[ids.MemberId, messages.Member] = {own.id: own}
+
+    def members(self) -> list[messages.Member]:
+        """Return all known members."""
+        return list(self.by_id.values())
+
+    def merge(
+        self,
+        members: typing.Iterable[messages.Member],
+    ) -> list[messages.Member]:
+        """Take newer statements; return the members that changed."""
+        changed = [member for member in members if self._is_newer(member)]
+        for member in changed:
+            self.by_id[member.id] = member
+        return changed
+
+    def get(self, member: ids.MemberId) -> messages.Member | None:
+        """Return a member by id."""
+        return self.by_id.get(member)
+
+    def agents(self, region: str) -> list[messages.Member]:
+        """Return the agents of a region, whatever their state."""
+        return [
+            member
+            for member in self.by_id.values()
+            if member.role is messages.Role.agent and member.region == region
+        ]
+
+    def replace_own(self, member: messages.Member) -> None:
+        """Set the entry of the process itself."""
+        self.own = member
+        self.by_id[member.id] = member
+
+    def _is_newer(self, member: messages.Member) -> bool:
+        if member.id == self.own.id:
+            return False
+        known = self.by_id.get(member.id)
+        return known is None or member.version > known.version
+
+
+def rank(
+    tenant: ids.TenantName,
+    key: ids.IdempotencyKey,
+    agents: typing.Iterable[messages.Member],
+) -> list[messages.Member]:
+    """Order agents for a key by rendezvous hashing, best first."""
+    return sorted(
+        agents,
+        key=lambda agent: score(tenant, key, agent.id),
+        reverse=True,
+    )
+
+
+def score(
+    tenant: ids.TenantName,
+    key: ids.IdempotencyKey,
+    agent: ids.MemberId,
+) -> bytes:
+    """Return the weight of one agent for a key."""
+    text = f'{tenant}\0{key}\0{agent}'.encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- /dev/null
+++ b/src/poplardrum/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The two long-running processes: entry and agent."""
--- /dev/null
+++ b/src/poplardrum/daemons/agent.py
@@ -0,0 +1,176 @@
+"""The agent: one process beside each endpoint."""
+
+import asyncio
+import contextlib
+import logging
+import time
+import typing
+
+import msgspec
+from aiohttp import web
+
+from poplardrum import ids, settings
+from poplardrum.daemons import (
+    configuration,
+    coordinator,
+    membership,
+    node,
+    signals,
+    submissions,
+    worker,
+)
+from poplardrum.endpoints import announcements
+from poplardrum.peers import links, messages
+from poplardrum.platform import consul
+
+logger = logging.getLogger(__name__)
+
+_TICK_SECONDS: typing.Final = 0.25
+
+
+class Agent(node.Node):
+    """Own one endpoint's slots and coordinate jobs."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        stack: contextlib.AsyncExitStack,
+    ) -> None:
+        """Build the parts; nothing listens yet."""
+        super().__init__(config, messages.Role.agent, stack)
+        self.worker = worker.Worker(self)
+        self.coordinator = coordinator.Coordinator(self)
+        self.submissions = submissions.Submissions(self)
+        self.local = links.LocalLink(self)
+
+    def load(self) -> messages.Load:
+        """Return the load of the endpoint."""
+        return self.worker.load()
+
+    def observe(self, link: links.Link) -> None:
+        """Offer the configuration to an entry that runs by an older one."""
+        if link.member.role is messages.Role.entry:
+            configuration.offer(self, link)
+
+    def member_seen(self, member: messages.Member) -> None:
+        """Keep links to the other agents of the region."""
+        for changed in self.view.merge([member]):
+            self._follow(changed)
+
+    def link_down(self, link: links.Link) -> None:
+        """End the tasks of a worker whose link has broken."""
+        super().link_down(link)
+        if link.dialed:
+            self.coordinator.worker_lost(link.member.id)
+
+    def ready_agents(self) -> list[messages.Member]:
+        """Return the agents of this region that take new work."""
+        return [
+            member
+            for member in self.view.agents(self.member.region)
+            if member.state is messages.MemberState.ready
+        ]
+
+    def worker_link(self, member: ids.MemberId) -> links.Link | None:
+        """Return the link on which this coordinator reaches a worker."""
+        if member == self.member.id:
+            self.local.load = self.worker.load()
+            return self.local
+        return self.link_to(member)
+
+    def coordinator_link(self, member: ids.MemberId) -> links.Link | None:
+        """Return the link on which this worker answers a coordinator."""
+        if member == self.member.id:
+            return self.local
+        link = self.inbound.get(member)
+        return link if link and link.is_open else None
+
+    async def announce(self, request: web.Request) -> web.Response:
+        """Take an announcement of the endpoint."""
+        announcement = announcements.read(await request.read())
+        changed = self.worker.endpoint.accept(announcement, time.monotonic())
+        if changed:
+            self.tell_state()
+        self.worker.pump()
+        return web.json_response({'agent': self.member.id})
+
+    def tell_state(self) -> None:
+        """Tell all peers when this agent starts or stops taking work."""
+        state = messages.MemberState.ready
+        endpoint = self.worker.endpoint.announcement
+        leaving = (
+            endpoint is not None
+            and endpoint.state is announcements.EndpointState.leaving
+        )
+        if leaving or self.stopping.is_set():
+            state = messages.MemberState.leaving
+        if state is self.member.state:
+            return
+        self.member = msgspec.structs.replace(
+            self.member,
+            state=state,
+            version=self.member.version + 1,
+        )
+        self.view.replace_own(self.member)
+        for link in self.all_links():
+            link.send(messages.Leaving(self.member))
+
+    async def drain(self) -> None:
+        """Take no new work, finish what runs, within the set time."""
+        self.tell_state()
+        limit = time.monotonic() + self.settings.limits.drain
+        while time.monotonic() < limit and self.busy():
+            await asyncio.sleep(_TICK_SECONDS / 5)
+
+    def busy(self) -> bool:
+        """Tell whether jobs or tasks are unfinished here."""
+        return bool(
+            self.coordinator.jobs or self.worker.running or self.worker.queue,
+        )
+
+    def _follow(self, member: messages.Member) -> None:
+        if member.role is not messages.Role.agent:
+            return
+        if member.region != self.member.region:
+            return
+        self.drop_dialer(member.id)
+        if member.state is not messages.MemberState.gone:
+            self.ensure_dialer(member)
+
+
+async def run(config: settings.Settings) -> None:
+    """Run an agent until a stop signal, then drain it."""
+    async with contextlib.AsyncExitStack() as stack:
+        process = Agent(config, stack)
+        stack.push_async_callback(process.worker.runner.close)
+        signals.install(process.stopping)
+        platform = consul.ConsulStore(
+            config.platform.address,
+            config.platform.timeout,
+        )
+        stack.push_async_callback(platform.close)
+        await links.serve(process, stack)
+        await serve_http(process, stack)
+        process.spawn(membership.register(process, platform), 'register')
+        process.spawn(node.bootstrap(process), 'bootstrap')
+        logger.info('agent %s is ready', process.member.id)
+        await process.stopping.wait()
+        await process.drain()
+        await membership.unregister(process, platform)
+        await process.cancel_tasks()
+
+
+async def serve_http(
+    process: Agent,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    """Listen for the endpoint, for metrics and for probes."""
+    app = web.Application()
+    app.add_routes(
+        [
+            web.post('/announce', process.announce),
+            web.get('/metrics', process.serve_metrics),
+            web.get('/livez', node.alive),
+        ]
+    )
+    await node.serve_application(process, app, stack)
--- /dev/null
+++ b/src/poplardrum/daemons/node.py
@@ -0,0 +1,188 @@
+"""What an entry and an agent have in common."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import time
+import typing
+
+from aiohttp import web
+
+from poplardrum import ids, metrics, settings
+from poplardrum.coordination import views
+from poplardrum.operators import document
+from poplardrum.peers import links, messages
+
+logger = logging.getLogger(__name__)
+
+
+class Node:
+    """One process of the system: its identity, links and view."""
+
+    def __init__(
+        self,
+        config: settings.Settings,
+        role: messages.Role,
+        stack: contextlib.AsyncExitStack,
+    ) -> None:
+        """Build the process; `stack` owns all that it opens."""
+        self.settings = config
+        self.stack = stack
+        self.random = random.Random()
+        self.metrics = metrics.Metrics()
+        self.stopping = asyncio.Event()
+        host, port = config.listen.peers
+        self.member = messages.Member(
+            id=config.process.id,
+            role=role,
+            incarnation=ids.new_incarnation(),
+            host=host,
+            port=port,
+            region=config.process.region,
+            zone=config.process.zone,
+            version=time.time_ns(),
+        )
+        self.view = views.View(self.member)
+        self.links: dict[ids.MemberId, links.Link] = {}
+        self.inbound: dict[ids.MemberId, links.Link] = {}
+        self.dialers: dict[ids.MemberId, asyncio.Task[None]] = {}
+        self.configuration = document.Holder()
+        self.tasks: set[asyncio.Task[typing.Any]] = set()
+        stack.push_async_callback(self.cancel_tasks)
+
+    def spawn(
+        self,
+        work: typing.Coroutine[typing.Any, typing.Any, None],
+        name: str,
+    ) -> asyncio.Task[None]:
+        """Run `work` in a task that the process owns and cancels."""
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self.tasks.add(task)
+        task.add_done_callback(self.task_done)
+        return task
+
+    def task_done(self, task: asyncio.Task[typing.Any]) -> None:
+        """Forget a finished task and log its fault, if any."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception():
+            logger.error(
+                'task %s failed',
+                task.get_name(),
+                exc_info=task.exception(),
+            )
+
+    async def cancel_tasks(self) -> None:
+        """Cancel all tasks of the process and wait for their ends."""
+        pending = list(self.tasks)
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+
+    def frame(self, items: list[messages.AnyItem]) -> messages.Frame:
+        """Wrap items for one peer with the state that every frame carries."""
+        self.metrics.frames.inc()
+        return messages.Frame(
+            sent=time.monotonic(),
+            config=self.configuration.number,
+            items=items,
+            load=self.load(),
+        )
+
+    def load(self) -> messages.Load | None:
+        """Return the load to put on a frame; `None` if there is none."""
+        return None
+
+    def observe(self, link: links.Link) -> None:
+        """Use what the last frame of a link said besides its items."""
+
+    def known_members(self) -> list[messages.Member]:
+        """Return this process and all members of its view."""
+        return self.view.members()
+
+    def member_seen(self, member: messages.Member) -> None:
+        """Take note of a member that a peer or the platform named."""
+        self.view.merge([member])
+
+    def all_links(self) -> list[links.Link]:
+        """Return all live links, dialed or accepted."""
+        return [*self.links.values(), *self.inbound.values()]
+
+    def link_to(self, member: ids.MemberId) -> links.Link | None:
+        """Return a live link on which requests to `member` can go out."""
+        link = self.links.get(member)
+        return link if link and link.is_open else None
+
+    def link_up(self, link: links.Link) -> None:
+        """Register a new link."""
+        table = self.links if link.dialed else self.inbound
+        table[link.member.id] = link
+        self.member_seen(link.member)
+        logger.info('link to %s is up', link.member.id)
+
+    def link_down(self, link: links.Link) -> None:
+        """Forget a link that has ended."""
+        table = self.links if link.dialed else self.inbound
+        if table.get(link.member.id) is link:
+            table.pop(link.member.id)
+        link.outbox.close()
+        logger.info('link to %s is down', link.member.id)
+
+    async def serve_metrics(self, request: web.Request) -> web.Response:
+        """Return all figures in the Prometheus text form."""
+        return web.Response(body=self.metrics.text(), content_type='text/plain')
+
+    def ensure_dialer(self, member: messages.Member) -> None:
+        """Keep a link to `member` from now on."""
+        if member.id in self.dialers or member.id == self.member.id:
+            return
+        self.dialers[member.id] = self.spawn(
+            links.dial(self, member),
+            f'dial {member.id}',
+        )
+
+    def drop_dialer(self, member: ids.MemberId) -> None:
+        """Stop dialing a member that is gone or has moved."""
+        task = self.dialers.pop(member, None)
+        if task:
+            task.cancel()
+
+
+async def alive(request: web.Request) -> web.Response:
+    """Answer the liveness probe."""
+    return web.Response(text='ok')
+
+
+async def serve_application(
+    process: Node,
+    app: web.Application,
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    """Serve HTTP on the address of the settings until the stack closes."""
+    runner = web.AppRunner(
+        app,
+        access_log=None,
+        max_field_size=process.settings.limits.header,
+        shutdown_timeout=process.settings.limits.drain,
+    )
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    site = web.TCPSite(
+        runner,
+        *process.settings.listen.http,
+        reuse_address=True,
+    )
+    await site.start()
+
+
+async def bootstrap(process: Node) -> None:
+    """Join at the peers of the settings until one of them answers."""
+    while True:
+        for address in process.settings.peers.bootstrap:
+            try:
+                members = await links.join(process, address)
+            except (OSError, EOFError, TimeoutError, *links.RPC_ERRORS):
+                continue
+            for member in members:
+                process.member_seen(member)
+        await asyncio.sleep(process.settings.peers.heartbeat)
--- /dev/null
+++ b/src/poplardrum/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements from endpoints and calls to them."""
--- /dev/null
+++ b/src/poplardrum/endpoints/announcements.py
@@ -0,0 +1,61 @@
+"""Announcements of the endpoint beside an agent."""
+
+import dataclasses
+import enum
+import typing
+
+import msgspec
+from aiohttp import web
+
+SILENCE_SECONDS: typing.Final = 3.5
+
+
+class EndpointState(enum.Enum):
+    """What the endpoint says of itself."""
+
+    ready = 'ready'
+    leaving = 'leaving'
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """Body of `POST /announce`."""
+
+    endpoint: str
+    address: str
+    slots: typing.Annotated[int, msgspec.Meta(ge=1, le=4096)]
+    state: EndpointState = EndpointState.ready
+
+
+@dataclasses.dataclass
+class EndpointStatus:
+    """The latest announcement and when it came, in monotonic seconds."""
+
+    announcement: Announcement | None = None
+    heard_at: float = 0
+
+    def accept(self, announcement: Announcement, now: float) -> bool:
+        """Take an announcement; return whether it changed anything."""
+        changed = announcement != self.announcement
+        self.announcement = announcement
+        self.heard_at = now
+        return changed
+
+    def usable(self, now: float) -> bool:
+        """Tell whether new tasks may go to the endpoint."""
+        return (
+            self.announcement is not None
+            and self.announcement.state is EndpointState.ready
+            and now - self.heard_at < SILENCE_SECONDS
+        )
+
+    def slots(self) -> int:
+        """Return the number of slots announced."""
+        return self.announcement.slots if self.announcement else 0
+
+
+def read(body: bytes) -> Announcement:
+    """Decode an announcement; raise HTTP 400 that names the field."""
+    try:
+        return msgspec.json.decode(body, type=Announcement)
+    except msgspec.DecodeError as error:
+        raise web.HTTPBadRequest(text=f'announcement: {error}') from None
--- /dev/null
+++ b/src/poplardrum/ini.py
@@ -0,0 +1,156 @@
+"""INI text with line numbers, and converters for option values."""
+
+import configparser
+import dataclasses
+import ipaddress
+import re
+import typing
+
+from poplardrum import errors
+
+_SECTION = re.compile(r'^\[(?P<name>[^\]]+)\]')
+_OPTION = re.compile(r'^(?P<name>[^\s=:#;\[][^=:]*?)\s*[=:]')
+_QUANTITY = re.compile(r'^(?P<number>\d+(?:\.\d+)?)\s*(?P<unit>[A-Za-z]*)$')
+_NAME = re.compile(r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
+_DURATIONS: typing.Final = {'ms': 0.001, 's': 1.0, 'min': 60.0, 'h': 3600.0}
+_SIZES: typing.Final = {'B': 1, 'KB': 1024, 'MB': 1048576}
+_MAX_PORT: typing.Final = 65535
+
+Address = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True)
+class Option:
+    """One option: its text and where it stands."""
+
+    text: str
+    where: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Section:
+    """One section: its name, where it stands and its options by name."""
+
+    name: str
+    where: str
+    options: dict[str, Option]
+
+
+def parse(text: str, source: str, code: errors.Code) -> dict[str, Section]:
+    """Return the sections of INI text; raise `code` with the line."""
+    parser = configparser.ConfigParser(
+        interpolation=None,
+        default_section='',
+        strict=True,
+    )
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        raise errors.refusal(code, str(error).replace('\n', ' ')) from None
+    lines = _line_numbers(text)
+    return {
+        name: _section(parser, name, source, lines)
+        for name in parser.sections()
+    }
+
+
+def _section(
+    parser: configparser.ConfigParser,
+    name: str,
+    source: str,
+    lines: dict[tuple[str, str], int],
+) -> Section:
+    options = {
+        option: Option(
+            parser.get(name, option) or '',
+            f'{source}:{lines.get((name, option), 0)}: [{name}] {option}',
+        )
+        for option in parser.options(name)
+    }
+    where = f'{source}:{lines.get((name, ""), 0)}: [{name}]'
+    return Section(name, where, options)
+
+
+def _line_numbers(text: str) -> dict[tuple[str, str], int]:
+    found: dict[tuple[str, str], int] = {}
+    section = ''
+    for number, line in enumerate(text.splitlines(), start=1):
+        header = _SECTION.match(line)
+        if header:
+            section = header.group('name')
+            found.setdefault((section, ''), number)
+            continue
+        option = _OPTION.match(line)
+        if option:
+            found.setdefault((section, option.group('name').lower()), number)
+    return found
+
+
+def duration(text: str) -> float:
+    """Convert `250 ms`, `2 s`, `5 min` or `1 h` to seconds."""
+    return _quantity(text, _DURATIONS, 'a duration such as 250 ms, 2 s, 5 min')
+
+
+def size(text: str) -> int:
+    """Convert `64 KB` or `1 MB` to bytes."""
+    return int(_quantity(text, _SIZES, 'a size such as 512 B, 64 KB, 1 MB'))
+
+
+def _quantity(
+    text: str,
+    units: typing.Mapping[str, float],
+    expected: str,
+) -> float:
+    match = _QUANTITY.match(text.strip())
+    if match is None or match.group('unit') not in units:
+        raise ValueError(f'expected {expected}, got {text!r}')
+    return float(match.group('number')) * units[match.group('unit')]
+
+
+def integer(text: str) -> int:
+    """Convert a whole number of at least zero."""
+    if not text.strip().isdecimal():
+        raise ValueError(f'expected a whole number, got {text!r}')
+    return int(text)
+
+
+def positive(text: str) -> float:
+    """Convert a number above zero."""
+    try:
+        number = float(text)
+    except ValueError:
+        number = 0
+    if not 0 < number < float('inf'):
+        raise ValueError(f'expected a number above 0, got {text!r}')
+    return number
+
+
+def name(text: str) -> str:
+    """Check a name of letters, digits, dot, dash and underscore."""
+    if not _NAME.match(text):
+        raise ValueError(f'expected a name of up to 64 letters, got {text!r}')
+    return text
+
+
+def string(text: str) -> str:
+    """Check that a text is not empty."""
+    if not text.strip():
+        raise ValueError('expected a text, got none')
+    return text.strip()
+
+
+def address(text: str) -> Address:
+    """Convert `127.0.0.1:7000` to an IP number and a port."""
+    host, _, port = text.strip().rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError:
+        raise ValueError(f'expected IP:port, got {text!r}') from None
+    if not port.isdecimal() or int(port) > _MAX_PORT:
+        raise ValueError(f'expected a port after the IP, got {text!r}')
+    return host.strip('[]'), int(port)
+
+
+def addresses(text: str) -> tuple[Address, ...]:
+    """Convert a list of addresses separated by commas."""
+    return tuple(address(part) for part in text.split(',') if part.strip())
--- /dev/null
+++ b/src/poplardrum/operators/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for operators and the rules they write."""
--- /dev/null
+++ b/src/poplardrum/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and links between the processes of the system."""
--- /dev/null
+++ b/src/poplardrum/peers/codec.py
@@ -0,0 +1,29 @@
+"""MessagePack codec for grpclib; needs no generated code."""
+
+import typing
+
+import msgspec
+from grpclib.encoding import base
+
+
+class MessagePackCodec(base.CodecBase):
+    """Encode and decode msgspec structs."""
+
+    __content_subtype__ = 'msgpack'
+
+    def __init__(self) -> None:
+        """Keep one encoder and one decoder a type, as both are reusable."""
+        self.encoder = msgspec.msgpack.Encoder()
+        self.decoders: dict[type[typing.Any], typing.Any] = {}
+
+    def encode(self, message: typing.Any, message_type: typing.Any) -> bytes:
+        """Return the wire form of a message."""
+        return self.encoder.encode(message)
+
+    def decode(self, data: bytes, message_type: typing.Any) -> typing.Any:
+        """Return the message; raise `msgspec.DecodeError` on bad data."""
+        decoder = self.decoders.get(message_type)
+        if decoder is None:
+            decoder = msgspec.msgpack.Decoder(message_type)
+            self.decoders[message_type] = decoder
+        return decoder.decode(data)
--- /dev/null
+++ b/src/poplardrum/peers/links.py
@@ -0,0 +1,313 @@
+"""Links: one bidirectional stream of frames to each peer.
+
+The reader and the writer of a link are written straight down. A link that
+was silent for longer than the limit is closed, since a frozen peer keeps
+its connection open.
+"""
+
+import asyncio
+import contextlib
+import logging
+import time
+import typing
+
+from grpclib import client, const, exceptions
+from grpclib import server as grpc_server
+
+from poplardrum import ids
+from poplardrum.peers import codec, dispatch, messages, outbox
+
+if typing.TYPE_CHECKING:
+    from poplardrum.daemons import node
+
+logger = logging.getLogger(__name__)
+
+LINK_ROUTE: typing.Final = '/poplardrum.Peer/Link'
+JOIN_ROUTE: typing.Final = '/poplardrum.Peer/Join'
+_BACKOFF_START: typing.Final = 0.05
+_BACKOFF_MAX: typing.Final = 1.0
+RPC_ERRORS: typing.Final = (
+    exceptions.GRPCError,
+    exceptions.ProtocolError,
+    exceptions.StreamTerminatedError,
+)
+_CONNECTION_ERRORS: typing.Final = (
+    OSError,
+    EOFError,
+    TimeoutError,
+    *RPC_ERRORS,
+)
+
+
+class FrameStream(typing.Protocol):
+    """The part of a grpclib stream that a link uses."""
+
+    async def send_message(self, message: messages.Frame) -> None:
+        """Write one frame."""
+
+    async def recv_message(self) -> messages.Frame | None:
+        """Read one frame; `None` at the end of the stream."""
+
+
+class Link:
+    """One live link to a peer."""
+
+    def __init__(self, member: messages.Member, *, dialed: bool) -> None:
+        """Start with the peer as it introduced itself."""
+        self.member = member
+        self.dialed = dialed
+        self.outbox = outbox.Outbox()
+        self.load: messages.Load | None = None
+        self.config = ids.ConfigNumber(0)
+        self.offered = ids.ConfigNumber(0)
+        self.last_seen = time.monotonic()
+        self.clock_base = float('inf')
+        self.frame_age = 0.0
+        self.frames_sent = 0
+        self.frames_received = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether items can still be written."""
+        return not self.outbox.closed
+
+    def send(self, item: messages.AnyItem) -> bool:
+        """Queue an item; return `False` when the link is closed."""
+        return self.outbox.put(item)
+
+    def observe(self, frame: messages.Frame) -> None:
+        """Note load, configuration number and age of a received frame.
+
+        The smallest difference between the clocks seen so far stands for a
+        frame without delay, so `frame_age` is what this one waited beyond.
+        """
+        now = time.monotonic()
+        self.last_seen = now
+        self.frames_received += 1
+        self.config = frame.config
+        if frame.load is not None:
+            self.load = frame.load
+        self.clock_base = min(self.clock_base, now - frame.sent)
+        self.frame_age = now - frame.sent - self.clock_base
+
+
+class LocalLink(Link):
+    """Link of a process to itself, without a connection."""
+
+    def __init__(self, process: 'node.Node') -> None:
+        """Deliver items to `process` in the next turn of the loop."""
+        super().__init__(process.member, dialed=True)
+        self.process = process
+        self.load = None
+
+    def send(self, item: messages.AnyItem) -> bool:
+        """Deliver the item soon, in order."""
+        loop = asyncio.get_running_loop()
+        loop.call_soon(dispatch.receive, item, self.process, self)
+        return True
+
+
+async def dial(process: 'node.Node', member: messages.Member) -> None:
+    """Keep a link to `member` until this task is cancelled."""
+    delay = _BACKOFF_START
+    while True:
+        started = time.monotonic()
+        try:
+            await _run_dialed(process, member)
+        except _CONNECTION_ERRORS as error:
+            logger.debug('link to %s: %r', member.id, error)
+        if time.monotonic() - started > _BACKOFF_MAX:
+            delay = _BACKOFF_START
+        await asyncio.sleep(delay * process.random.uniform(0.5, 1))
+        delay = min(delay * 2, _BACKOFF_MAX)
+
+
+async def _run_dialed(
+    process: 'node.Node',
+    member: messages.Member,
+) -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        channel = client.Channel(
+            member.host,
+            member.port,
+            codec=codec.MessagePackCodec(),
+        )
+        stack.callback(channel.close)
+        method = client.StreamStreamMethod(
+            channel,
+            LINK_ROUTE,
+            messages.Frame,
+            messages.Frame,
+        )
+        stream = await stack.enter_async_context(method.open())
+        async with asyncio.timeout(process.settings.peers.silence):
+            await stream.send_request()
+            await stream.send_message(_hello(process))
+            first = await stream.recv_message()
+        await _serve(process, stream, first, dialed=True)
+        await stream.cancel()
+
+
+def _hello(process: 'node.Node') -> messages.Frame:
+    return process.frame(
+        [
+            messages.Hello(process.member, process.known_members()),
+        ]
+    )
+
+
+async def _serve(
+    process: 'node.Node',
+    stream: FrameStream,
+    first: messages.Frame | None,
+    *,
+    dialed: bool,
+) -> None:
+    if first is None or not isinstance(first.items[0], messages.Hello):
+        return
+    link = Link(first.items[0].member, dialed=dialed)
+    async with contextlib.AsyncExitStack() as stack:
+        process.link_up(link)
+        stack.callback(process.link_down, link)
+        _receive(process, link, first)
+        halves = (
+            asyncio.ensure_future(_write(process, stream, link)),
+            asyncio.ensure_future(_read(process, stream, link)),
+        )
+        stack.push_async_callback(_cancel, halves)
+        await asyncio.wait(halves, return_when=asyncio.FIRST_COMPLETED)
+
+
+async def _cancel(halves: tuple[asyncio.Future[None], ...]) -> None:
+    for half in halves:
+        half.cancel()
+    for outcome in await asyncio.gather(*halves, return_exceptions=True):
+        if not isinstance(outcome, (*_CONNECTION_ERRORS, type(None))):
+            if not isinstance(outcome, asyncio.CancelledError):
+                logger.error('link failed', exc_info=outcome)
+
+
+async def _write(
+    process: 'node.Node',
+    stream: FrameStream,
+    link: Link,
+) -> None:
+    limits = process.settings.peers
+    while link.is_open:
+        items = await link.outbox.take(limits.heartbeat)
+        if time.monotonic() - link.last_seen > limits.silence:
+            logger.warning('peer %s is silent', link.member.id)
+            return
+        if items:
+            link.frames_sent += 1
+            async with asyncio.timeout(limits.silence):
+                await stream.send_message(process.frame(items))
+
+
+async def _read(
+    process: 'node.Node',
+    stream: FrameStream,
+    link: Link,
+) -> None:
+    while link.is_open:
+        frame = await stream.recv_message()
+        if frame is None:
+            return
+        _receive(process, link, frame)
+
+
+def _receive(
+    process: 'node.Node',
+    link: Link,
+    frame: messages.Frame,
+) -> None:
+    link.observe(frame)
+    process.observe(link)
+    for item in frame.items:
+        try:
+            dispatch.receive(item, process, link)
+        except Exception:
+            # A fault in one receiver must not cut the link for the others.
+            logger.exception('receiver of %s failed', type(item).__name__)
+
+
+async def join(
+    process: 'node.Node',
+    address: tuple[str, int],
+) -> list[messages.Member]:
+    """Join at a peer; return its members or raise a connection error."""
+    async with contextlib.AsyncExitStack() as stack:
+        channel = client.Channel(*address, codec=codec.MessagePackCodec())
+        stack.callback(channel.close)
+        method: typing.Any = client.UnaryUnaryMethod(
+            channel,
+            JOIN_ROUTE,
+            messages.JoinRequest,
+            messages.JoinReply,
+        )
+        reply = await method(
+            messages.JoinRequest(process.member),
+            timeout=process.settings.peers.silence,
+        )
+    return list(reply.members)
+
+
+class PeerService:
+    """Serve links and joins of other processes."""
+
+    def __init__(self, process: 'node.Node') -> None:
+        """Serve on behalf of `process`."""
+        self.process = process
+
+    async def link(self, stream: typing.Any) -> None:
+        """Serve one link until either side ends it."""
+        silence = self.process.settings.peers.silence
+        async with asyncio.timeout(silence):
+            first = await stream.recv_message()
+            await stream.send_message(_hello(self.process))
+        with contextlib.suppress(*_CONNECTION_ERRORS):
+            await _serve(self.process, stream, first, dialed=False)
+
+    async def join(self, stream: typing.Any) -> None:
+        """Add the sender to the view and answer with all members."""
+        request = await stream.recv_message()
+        if request is not None:
+            self.process.member_seen(request.member)
+            await stream.send_message(
+                messages.JoinReply(self.process.known_members()),
+            )
+
+    def __mapping__(self) -> dict[str, const.Handler]:
+        """Return the routes, as grpclib's generated code would."""
+        return {
+            LINK_ROUTE: const.Handler(
+                self.link,
+                const.Cardinality.STREAM_STREAM,
+                messages.Frame,
+                messages.Frame,
+            ),
+            JOIN_ROUTE: const.Handler(
+                self.join,
+                const.Cardinality.UNARY_UNARY,
+                messages.JoinRequest,
+                messages.JoinReply,
+            ),
+        }
+
+
+async def serve(
+    process: 'node.Node',
+    stack: contextlib.AsyncExitStack,
+) -> None:
+    """Listen for peers until the stack closes."""
+    server = grpc_server.Server(
+        [PeerService(process)],
+        codec=codec.MessagePackCodec(),
+    )
+    await server.start(*process.settings.listen.peers)
+    stack.push_async_callback(_close, server)
+
+
+async def _close(server: grpc_server.Server) -> None:
+    server.close()
+    await server.wait_closed()
--- /dev/null
+++ b/src/poplardrum/peers/messages.py
@@ -0,0 +1,354 @@
+"""Typed messages between the processes; the wire form is MessagePack.
+
+Times are in milliseconds where a field ends in `_ms`, else in seconds.
+"""
+
+import enum
+import typing
+
+import msgspec
+
+from poplardrum import errors, ids
+
+
+class Role(enum.Enum):
+    """Role of a process."""
+
+    entry = 'entry'
+    agent = 'agent'
+
+
+class MemberState(enum.Enum):
+    """What a member says of itself."""
+
+    ready = 'ready'
+    leaving = 'leaving'
+    gone = 'gone'
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One process of the system as its peers know it."""
+
+    id: ids.MemberId
+    role: Role
+    incarnation: ids.Incarnation
+    host: str
+    port: int
+    region: str
+    zone: str
+    state: MemberState = MemberState.ready
+    version: int = 0
+
+
+class Load(msgspec.Struct, array_like=True, frozen=True):
+    """Load of one agent; `backlog` is queued seconds by tenant."""
+
+    slots: int
+    free: int
+    queued: int
+    speed: float = 1.0
+    backlog: dict[ids.TenantName, float] = {}
+
+
+class TaskSpec(msgspec.Struct, array_like=True, frozen=True):
+    """One task as its caller submitted it."""
+
+    kind: ids.KindName
+    payload: str
+    declared_ms: float
+    idempotent: bool
+
+
+class TaskOutcome(msgspec.Struct, frozen=True):
+    """End of one task; `seconds` is its run time at the worker."""
+
+    verdict: errors.Verdict
+    code: errors.Code
+    output: str = ''
+    worker: ids.MemberId = ids.MemberId('')
+    seconds: float = 0
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Complete answer of a job, or its plain failure."""
+
+    job: ids.JobId
+    code: errors.Code
+    verdict: errors.Verdict
+    message: str = ''
+    retry_after: float | None = None
+    tasks: list[TaskOutcome] = []
+
+
+class Item(msgspec.Struct, array_like=True, tag=True):
+    """Base of everything that a frame carries."""
+
+
+class Hello(Item):
+    """Introduce the sender on a new link; `view` is all it knows."""
+
+    member: Member
+    view: list[Member] = []
+
+
+class View(Item):
+    """Tell a peer about members that are new or have changed."""
+
+    members: list[Member]
+
+
+class Heartbeat(Item):
+    """Keep a link alive when nothing else was sent."""
+
+
+class Leaving(Item):
+    """Announce that the sender takes no new work."""
+
+    member: Member
+
+
+class ConfigUpdate(Item):
+    """Carry the configuration document to an agent."""
+
+    number: ids.ConfigNumber
+    document: bytes
+
+
+class Hint(msgspec.Struct, array_like=True, frozen=True):
+    """What an entry knows of one worker when it forwards a job."""
+
+    worker: ids.MemberId
+    load: Load
+
+
+class SubmitJob(Item):
+    """Ask a coordinator to run a job, or to attach to it.
+
+    `deadline_ms` is the time left when the frame was sent. `unreachable`
+    lists agents to which the entry has no live link.
+    """
+
+    request: ids.RequestId
+    tenant: ids.TenantName
+    key: ids.IdempotencyKey
+    digest: bytes
+    first: bool
+    job_class: ids.ClassName
+    urgency: int
+    deadline_ms: float
+    tasks: list[TaskSpec]
+    wait: bool = True
+    hints: list[Hint] = []
+    unreachable: list[ids.MemberId] = []
+
+
+class FetchJob(Item):
+    """Ask a coordinator for the answer of a known key."""
+
+    request: ids.RequestId
+    tenant: ids.TenantName
+    key: ids.IdempotencyKey
+    wait: bool
+
+
+class CancelJob(Item):
+    """Ask a coordinator to cancel the job of a known key."""
+
+    request: ids.RequestId
+    tenant: ids.TenantName
+    key: ids.IdempotencyKey
+
+
+class JobReply(Item):
+    """Answer of a coordinator to an entry's request.
+
+    `redirect` names the coordinator that owns the key instead.
+    """
+
+    request: ids.RequestId
+    answer: Answer
+    redirect: ids.MemberId | None = None
+
+
+class Start(Item):
+    """Grant one task to a worker under a lease."""
+
+    task: ids.TaskId
+    coordinator: ids.MemberId
+    incarnation: ids.Incarnation
+    tenant: ids.TenantName
+    urgency: int
+    order: float
+    lease_ms: float
+    deadline_ms: float
+    spec: TaskSpec
+
+
+class Reserve(Item):
+    """Ask a worker to claim up to `count` tasks of a job when it can."""
+
+    job: ids.JobId
+    tenant: ids.TenantName
+    urgency: int
+    order: float
+    count: int
+    expected_ms: float
+
+
+class Claim(Item):
+    """Ask the coordinator for a task of a reserved job, for one free slot."""
+
+    job: ids.JobId
+    claim: int
+
+
+class NoTask(Item):
+    """Answer a claim for which no task waits any more."""
+
+    job: ids.JobId
+    claim: int
+
+
+class Withdraw(Item):
+    """Take tasks back that have not started."""
+
+    tasks: list[ids.TaskId]
+
+
+class StopTasks(Item):
+    """Stop tasks, queued or running, of a cancelled job."""
+
+    tasks: list[ids.TaskId]
+
+
+class QueryTasks(Item):
+    """Ask after tasks that were granted before a link broke."""
+
+    tasks: list[ids.TaskId]
+    worker_incarnation: ids.Incarnation
+
+
+class Done(Item):
+    """Report the end of one task, once."""
+
+    task: ids.TaskId
+    outcome: TaskOutcome
+
+
+class NotStarted(Item):
+    """Promise that tasks have not started and never will on this grant."""
+
+    tasks: list[ids.TaskId]
+    reason: errors.Code
+
+
+class TaskRunning(Item):
+    """Say after a query that tasks are queued or running here."""
+
+    tasks: list[ids.TaskId]
+
+
+class AskRecord(Item):
+    """Ask an agent whether it may have started the job of a key."""
+
+    request: ids.RequestId
+    tenant: ids.TenantName
+    key: ids.IdempotencyKey
+    asker: Member
+
+
+class RecordState(enum.Enum):
+    """What an asked agent knows of a key."""
+
+    owned = 'owned'
+    tombstone = 'tombstone'
+    elsewhere = 'elsewhere'
+
+
+class RecordReply(Item):
+    """Answer to `AskRecord`; `owner` is set for a redirect."""
+
+    request: ids.RequestId
+    state: RecordState
+    incarnation: ids.Incarnation
+    stable: bool
+    owner: ids.MemberId | None = None
+
+
+class KeptRecord(msgspec.Struct, array_like=True, frozen=True):
+    """One finished record that moves to another agent at a planned stop."""
+
+    tenant: ids.TenantName
+    key: ids.IdempotencyKey
+    digest: bytes
+    answer: Answer
+    expires_in: float
+
+
+class HandOver(Item):
+    """Carry kept records to the next agent in rank."""
+
+    request: ids.RequestId
+    records: list[KeptRecord]
+
+
+class HandOverAck(Item):
+    """Confirm that handed-over records are kept."""
+
+    request: ids.RequestId
+    accepted: int
+
+
+AnyItem = (
+    Hello
+    | View
+    | Heartbeat
+    | Leaving
+    | ConfigUpdate
+    | SubmitJob
+    | FetchJob
+    | CancelJob
+    | JobReply
+    | Start
+    | Reserve
+    | Claim
+    | NoTask
+    | Withdraw
+    | StopTasks
+    | QueryTasks
+    | Done
+    | NotStarted
+    | TaskRunning
+    | AskRecord
+    | RecordReply
+    | HandOver
+    | HandOverAck
+)
+
+
+class Frame(msgspec.Struct, array_like=True, frozen=True):
+    """Everything that one peer sends to another at one moment.
+
+    `sent` is the sender's monotonic time in seconds, which lets the
+    receiver estimate how long the frame has waited.
+    """
+
+    sent: float
+    config: ids.ConfigNumber
+    items: list[AnyItem]
+    load: Load | None = None
+
+
+class JoinRequest(msgspec.Struct, frozen=True):
+    """Ask a known peer to let the sender into its view."""
+
+    member: Member
+
+
+class JoinReply(msgspec.Struct, frozen=True):
+    """Answer with all members that the peer knows."""
+
+    members: list[Member]
+
+
+Payload = typing.Union[Frame, JoinRequest, JoinReply]
--- /dev/null
+++ b/src/poplardrum/peers/outbox.py
@@ -0,0 +1,41 @@
+"""Outgoing items of one link, sent together."""
+
+import asyncio
+
+from poplardrum.peers import messages
+
+
+class Outbox:
+    """Collect items until the writer takes all of them at once."""
+
+    def __init__(self) -> None:
+        """Start empty and open."""
+        self.items: list[messages.AnyItem] = []
+        self.wakeup = asyncio.Event()
+        self.closed = False
+
+    def put(self, item: messages.AnyItem) -> bool:
+        """Add an item; return `False` when the link is closed."""
+        if self.closed:
+            return False
+        self.items.append(item)
+        self.wakeup.set()
+        return True
+
+    def close(self) -> list[messages.AnyItem]:
+        """Close and return the items that were never written."""
+        self.closed = True
+        self.wakeup.set()
+        unsent, self.items = self.items, []
+        return unsent
+
+    async def take(self, interval: float) -> list[messages.AnyItem]:
+        """Wait for items, or return a heartbeat after `interval` seconds."""
+        if not self.items and not self.closed:
+            try:
+                await asyncio.wait_for(self.wakeup.wait(), interval)
+            except TimeoutError:
+                return [messages.Heartbeat()]
+        self.wakeup.clear()
+        taken, self.items = self.items, []
+        return taken
--- /dev/null
+++ b/src/poplardrum/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's key-value service."""
--- /dev/null
+++ b/src/poplardrum/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about placement, shares and admission, free of I/O."""
--- /dev/null
+++ b/src/poplardrum/settings.py
@@ -0,0 +1,162 @@
+"""Settings of one process, read from an INI file and checked at start."""
+
+import dataclasses
+import pathlib
+import typing
+
+from poplardrum import errors, ids, ini
+
+Converter = typing.Callable[[str], typing.Any]
+
+
+def _option(convert: Converter, default: str | None = None) -> typing.Any:
+    return dataclasses.field(
+        metadata={'convert': convert, 'default': default},
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Process:
+    """Identity and place of the process."""
+
+    id: ids.MemberId = _option(ini.name)
+    region: str = _option(ini.name)
+    zone: str = _option(ini.name)
+
+
+@dataclasses.dataclass(frozen=True)
+class Listen:
+    """Addresses the process listens on."""
+
+    peers: ini.Address = _option(ini.address)
+    http: ini.Address = _option(ini.address)
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """Address of the key-value service and its time limit in seconds."""
+
+    address: ini.Address = _option(ini.address)
+    timeout: float = _option(ini.duration, '2 s')
+
+
+@dataclasses.dataclass(frozen=True)
+class Peers:
+    """Links to other processes; times in seconds."""
+
+    bootstrap: tuple[ini.Address, ...] = _option(ini.addresses, '')
+    heartbeat: float = _option(ini.duration, '2 s')
+    silence: float = _option(ini.duration, '5 s')
+
+
+@dataclasses.dataclass(frozen=True)
+class Operators:
+    """Credential of the operators' interface."""
+
+    token: str = _option(ini.string, 'operator')
+
+
+@dataclasses.dataclass(frozen=True)
+class Logs:
+    """Level and form of the log."""
+
+    level: str = _option(ini.name, 'INFO')
+    form: str = _option(ini.name, 'text')
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Bounds on requests and tables; sizes in bytes, times in seconds."""
+
+    body: int = _option(ini.size, '8 MB')
+    tasks: int = _option(ini.integer, '710')
+    payload: int = _option(ini.size, '64 KB')
+    key: int = _option(ini.integer, '128')
+    nesting: int = _option(ini.integer, '16')
+    header: int = _option(ini.size, '8 KB')
+    records: int = _option(ini.integer, '20000')
+    answers: int = _option(ini.size, '16 MB')
+    queue: int = _option(ini.integer, '20000')
+    connections: int = _option(ini.integer, '60')
+    window: float = _option(ini.duration, '5 min')
+    deadline: float = _option(ini.duration, '60 s')
+    drain: float = _option(ini.duration, '30 s')
+    balancer: float = _option(ini.duration, '1 s')
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """All settings of one process."""
+
+    process: Process
+    listen: Listen
+    platform: Platform
+    peers: Peers
+    operators: Operators
+    logs: Logs
+    limits: Limits
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Read and check a settings file; raise an error with file and line."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.refusal(
+            errors.Code.settings,
+            f'{path}: cannot be read: {error}',
+        ) from None
+    return parse(text, str(path))
+
+
+def parse(text: str, source: str) -> Settings:
+    """Check settings text; raise an error that names file and line."""
+    sections = ini.parse(text, source, errors.Code.settings)
+    kinds = typing.get_type_hints(Settings)
+    for name, section in sections.items():
+        if name not in kinds:
+            raise _error(section.where, 'unknown section')
+    return Settings(
+        **{
+            name: _read(kind, name, sections.get(name), source)
+            for name, kind in kinds.items()
+        }
+    )
+
+
+def _read(
+    kind: type[typing.Any],
+    name: str,
+    section: ini.Section | None,
+    source: str,
+) -> typing.Any:
+    options = section.options if section else {}
+    fields = {field.name: field for field in dataclasses.fields(kind)}
+    for option, found in options.items():
+        if option not in fields:
+            raise _error(found.where, 'unknown option')
+    missing = f'{source}: [{name}]'
+    return kind(
+        **{
+            option: _value(field, options.get(option), f'{missing} {option}')
+            for option, field in fields.items()
+        }
+    )
+
+
+def _value(
+    field: dataclasses.Field[typing.Any],
+    option: ini.Option | None,
+    missing: str,
+) -> typing.Any:
+    text = option.text if option else field.metadata['default']
+    if text is None:
+        raise _error(missing, 'missing option')
+    try:
+        return field.metadata['convert'](text)
+    except ValueError as error:
+        raise _error(option.where if option else missing, str(error)) from None
+
+
+def _error(where: str, message: str) -> errors.PoplardrumError:
+    return errors.refusal(errors.Code.settings, f'{where}: {message}')
--- /dev/null
+++ b/src/poplardrum/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems for demo, tests and measurements."""
--- /dev/null
+++ b/src/poplardrum/standins/endpoint.py
@@ -0,0 +1,126 @@
+"""Stand-in for an endpoint: runs tasks by sleeping, counts their starts.
+
+A payload is JSON such as `{"seconds": 0.2, "fail": false}`; the time is
+divided by the endpoint's speed. `GET /starts` returns the starts of each
+task, `PUT /switch` sets `fail_all` (bool), `state` and `speed`.
+"""
+
+import asyncio
+import collections
+import json
+import typing
+
+import aiohttp
+from aiohttp import web
+
+_ANNOUNCE_SECONDS: typing.Final = 1.0
+
+
+class EndpointStandIn:
+    """Run tasks for one agent."""
+
+    def __init__(self, name: str, slots: int, speed: float) -> None:
+        """Offer `slots` slots; `speed` 2 halves every task time."""
+        self.name = name
+        self.slots = slots
+        self.speed = speed
+        self.state = 'ready'
+        self.fail_all = False
+        self.starts: collections.Counter[str] = collections.Counter()
+        self.running: dict[str, asyncio.Task[typing.Any]] = {}
+        self.most_running = 0
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.post('/tasks/{id}', self.run),
+                web.delete('/tasks/{id}', self.stop),
+                web.get('/starts', self.list_starts),
+                web.put('/switch', self.switch),
+            ]
+        )
+        return app
+
+    async def run(self, request: web.Request) -> web.Response:
+        """Run one task and answer when it has ended."""
+        task = request.match_info['id']
+        body = await request.json()
+        self.starts[task] += 1
+        work = asyncio.ensure_future(self.work(body.get('payload', '')))
+        self.running[task] = work
+        self.most_running = max(self.most_running, len(self.running))
+        try:
+            output = await asyncio.shield(work)
+        except asyncio.CancelledError:
+            return web.json_response({'error': 'stopped'}, status=410)
+        except ValueError as error:
+            return web.json_response({'error': str(error)}, status=500)
+        finally:
+            self.running.pop(task, None)
+        return web.json_response({'output': output})
+
+    async def work(self, payload: str) -> str:
+        """Sleep for the task's time; raise `ValueError` for a failure."""
+        try:
+            content = json.loads(payload)
+        except ValueError:
+            content = {}
+        if self.fail_all:
+            raise ValueError('endpoint is broken')
+        if not isinstance(content, dict):
+            content = {}
+        await asyncio.sleep(float(content.get('seconds', 0.05)) / self.speed)
+        if content.get('fail'):
+            raise ValueError('task failed')
+        return str(content.get('reply', 'done'))
+
+    async def stop(self, request: web.Request) -> web.Response:
+        """Stop a running task."""
+        work = self.running.get(request.match_info['id'])
+        if work is None:
+            return web.json_response({'error': 'not running'}, status=404)
+        work.cancel()
+        return web.json_response({'stopped': True})
+
+    async def list_starts(self, request: web.Request) -> web.Response:
+        """Return the number of starts by task."""
+        return web.json_response(
+            {
+                'starts': self.starts,
+                'most_running': self.most_running,
+                'slots': self.slots,
+            }
+        )
+
+    async def switch(self, request: web.Request) -> web.Response:
+        """Change the behaviour."""
+        body = await request.json()
+        self.fail_all = body.get('fail_all', self.fail_all)
+        self.state = body.get('state', self.state)
+        self.speed = body.get('speed', self.speed)
+        return web.json_response(data=True)
+
+
+async def announce(
+    endpoint: EndpointStandIn,
+    address: str,
+    agent: str,
+) -> None:
+    """Announce the endpoint to its agent, again and again."""
+    async with aiohttp.ClientSession() as session:
+        while True:
+            body = {
+                'endpoint': endpoint.name,
+                'address': address,
+                'slots': endpoint.slots,
+                'state': endpoint.state,
+            }
+            try:
+                await session.post(f'http://{agent}/announce', json=body)
+            except aiohttp.ClientError:
+                # The agent starts later or restarts; the next round retries.
+                await asyncio.sleep(0.05)
+                continue
+            await asyncio.sleep(_ANNOUNCE_SECONDS)
--- /dev/null
+++ b/src/poplardrum/standins/http.py
@@ -0,0 +1,46 @@
+"""Small blocking HTTP calls for demo, tests and measurements."""
+
+import json
+import typing
+import urllib.error
+import urllib.request
+
+_TIMEOUT_SECONDS: typing.Final = 90
+
+
+def call(
+    method: str,
+    url: str,
+    body: typing.Any = None,
+    headers: typing.Mapping[str, str] | None = None,
+) -> tuple[int, typing.Any]:
+    """Send JSON and return status and decoded reply; raise `OSError`."""
+    data = None if body is None else json.dumps(body).encode()
+    return call_bytes(method, url, data, headers)
+
+
+def call_bytes(
+    method: str,
+    url: str,
+    data: bytes | None,
+    headers: typing.Mapping[str, str] | None = None,
+) -> tuple[int, typing.Any]:
+    """Send bytes and return status and decoded reply; raise `OSError`."""
+    request = urllib.request.Request(url, data, dict(headers or {}))
+    request.method = method
+    try:
+        with urllib.request.urlopen(
+            request,
+            timeout=_TIMEOUT_SECONDS,
+        ) as response:
+            return response.status, _decode(response.read())
+    except urllib.error.HTTPError as error:
+        with error:
+            return error.code, _decode(error.read())
+
+
+def _decode(content: bytes) -> typing.Any:
+    try:
+        return json.loads(content)
+    except ValueError:
+        return content.decode()
--- /dev/null
+++ b/src/poplardrum/standins/platform.py
@@ -0,0 +1,259 @@
+"""Stand-in for the platform: the subset of Consul's HTTP form in use.
+
+`PUT /switch` with JSON sets `outage` (bool), `delay` (seconds),
+`lose_answers` (count of writes whose answer is dropped after they took
+effect); `GET /calls` returns the number of calls by method; `PUT /restore`
+puts the store back to the state of the latest `PUT /backup`.
+"""
+
+import asyncio
+import base64
+import collections
+import copy
+import dataclasses
+import secrets
+import time
+import typing
+
+from aiohttp import web
+
+_MAX_WAIT: typing.Final = 300.0
+
+
+@dataclasses.dataclass
+class Stored:
+    """One key's value."""
+
+    value: bytes
+    index: int
+    session: str | None = None
+
+
+@dataclasses.dataclass
+class State:
+    """All keys and sessions."""
+
+    keys: dict[str, Stored] = dataclasses.field(default_factory=dict)
+    index: int = 1
+
+
+class PlatformStandIn:
+    """Hold the keys in memory and apply the switches."""
+
+    def __init__(self) -> None:
+        """Start empty, with all switches off."""
+        self.state = State()
+        self.backup = State()
+        self.sessions: dict[str, tuple[float, float]] = {}
+        self.changed = asyncio.Condition()
+        self.outage = False
+        self.delay = 0.0
+        self.lose_answers = 0
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application(
+            middlewares=[self.switches],
+            client_max_size=2**21,
+        )
+        app.add_routes(
+            [
+                web.get('/v1/kv/{key:.*}', self.get),
+                web.put('/v1/kv/{key:.*}', self.put),
+                web.delete('/v1/kv/{key:.*}', self.delete),
+                web.put('/v1/session/create', self.create_session),
+                web.put('/v1/session/renew/{id}', self.renew_session),
+                web.put('/v1/session/destroy/{id}', self.destroy_session),
+                web.put('/switch', self.switch),
+                web.get('/calls', self.count),
+                web.put('/backup', self.make_backup),
+                web.put('/restore', self.restore),
+            ]
+        )
+        return app
+
+    @web.middleware
+    async def switches(
+        self,
+        request: web.Request,
+        handler: typing.Any,
+    ) -> web.StreamResponse:
+        """Apply outage, delay and lost answers to calls under /v1."""
+        if not request.path.startswith('/v1/'):
+            return typing.cast(web.StreamResponse, await handler(request))
+        self.calls[request.method] += 1
+        if self.delay:
+            await asyncio.sleep(self.delay)
+        if self.outage:
+            return web.Response(status=500, text='No cluster leader')
+        response = await handler(request)
+        lost = request.method != 'GET' and self.lose_answers > 0
+        if self.outage or lost:
+            self.lose_answers -= int(lost)
+            if request.transport:
+                request.transport.close()
+        return typing.cast(web.StreamResponse, response)
+
+    async def get(self, request: web.Request) -> web.Response:
+        """Read a key or prefix, blocking when an index is given."""
+        key = request.match_info['key']
+        prefix = 'recurse' in request.query
+        after = int(request.query.get('index', '0'))
+        wait = _seconds(request.query.get('wait', '300s'))
+        deadline = time.monotonic() + min(wait, _MAX_WAIT)
+        while after and self.newest(key, prefix=prefix) <= after:
+            if not await self.wait_change(deadline - time.monotonic()):
+                break
+        rows = [
+            _row(name, stored)
+            for name, stored in self.matching(key, prefix=prefix)
+        ]
+        index = max(self.newest(key, prefix=prefix), 1)
+        return web.json_response(
+            rows,
+            status=200 if rows else 404,
+            headers={'X-Consul-Index': str(index)},
+        )
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Write a key, by compare-and-swap or under a session."""
+        key = request.match_info['key']
+        body = await request.read()
+        self.expire_sessions()
+        known = self.state.keys.get(key)
+        expected = request.query.get('cas')
+        if expected is not None:
+            if int(expected) != (known.index if known else 0):
+                return web.json_response(data=False)
+        session = request.query.get('acquire')
+        if session is not None and session not in self.sessions:
+            return web.json_response(data=False)
+        self.state.index += 1
+        self.state.keys[key] = Stored(body, self.state.index, session)
+        await self.notify()
+        return web.json_response(data=True)
+
+    async def delete(self, request: web.Request) -> web.Response:
+        """Delete a key."""
+        await self.remove([request.match_info['key']])
+        return web.json_response(data=True)
+
+    async def create_session(self, request: web.Request) -> web.Response:
+        """Create a session."""
+        body = await request.json()
+        session = secrets.token_hex(8)
+        ttl = _seconds(body.get('TTL', '10s'))
+        self.sessions[session] = (time.monotonic() + ttl, ttl)
+        return web.json_response({'ID': session})
+
+    async def renew_session(self, request: web.Request) -> web.Response:
+        """Renew a session, or answer 404 when it has lapsed."""
+        self.expire_sessions()
+        session = request.match_info['id']
+        if session not in self.sessions:
+            return web.Response(status=404, text='Session id not found')
+        ttl = self.sessions[session][1]
+        self.sessions[session] = (time.monotonic() + ttl, ttl)
+        return web.json_response([{'ID': session}])
+
+    async def destroy_session(self, request: web.Request) -> web.Response:
+        """End a session."""
+        self.sessions.pop(request.match_info['id'], None)
+        self.expire_sessions()
+        return web.json_response(data=True)
+
+    async def switch(self, request: web.Request) -> web.Response:
+        """Set the switches; an outage also ends waiting watches."""
+        body = await request.json()
+        self.outage = body.get('outage', self.outage)
+        self.delay = body.get('delay', self.delay)
+        self.lose_answers = body.get('lose_answers', self.lose_answers)
+        await self.notify()
+        return web.json_response(data=True)
+
+    async def count(self, request: web.Request) -> web.Response:
+        """Return the number of calls by method."""
+        return web.json_response(dict(self.calls))
+
+    async def make_backup(self, request: web.Request) -> web.Response:
+        """Remember the present state for a later restore."""
+        self.backup = copy.deepcopy(self.state)
+        return web.json_response(data=True)
+
+    async def restore(self, request: web.Request) -> web.Response:
+        """Go back to the backup, as a restored service would."""
+        index = self.state.index
+        self.state = copy.deepcopy(self.backup)
+        self.state.index = index + 1
+        for stored in self.state.keys.values():
+            stored.index = self.state.index
+        await self.notify()
+        return web.json_response(data=True)
+
+    def matching(self, key: str, *, prefix: bool) -> list[tuple[str, Stored]]:
+        """Return the live keys that a read asks for."""
+        self.expire_sessions()
+        return [
+            (name, stored)
+            for name, stored in sorted(self.state.keys.items())
+            if name == key or (prefix and name.startswith(key))
+        ]
+
+    def newest(self, key: str, *, prefix: bool) -> int:
+        """Return the highest index of a read; deletions raise all."""
+        found = self.matching(key, prefix=prefix)
+        newest = max((stored.index for _, stored in found), default=0)
+        return self.state.index if prefix or not found else newest
+
+    def expire_sessions(self) -> None:
+        """Delete lapsed sessions and the keys they hold."""
+        now = time.monotonic()
+        for session, (deadline, _) in list(self.sessions.items()):
+            if deadline < now:
+                self.sessions.pop(session)
+        for name, stored in list(self.state.keys.items()):
+            if stored.session and stored.session not in self.sessions:
+                self.state.index += 1
+                self.state.keys.pop(name)
+
+    async def remove(self, keys: list[str]) -> None:
+        """Delete keys and wake the watches."""
+        for key in keys:
+            if self.state.keys.pop(key, None):
+                self.state.index += 1
+        await self.notify()
+
+    async def notify(self) -> None:
+        """Wake all waiting watches."""
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def wait_change(self, seconds: float) -> bool:
+        """Wait for a change; `False` after `seconds` or in an outage."""
+        if seconds <= 0 or self.outage:
+            return False
+        async with self.changed:
+            try:
+                await asyncio.wait_for(self.changed.wait(), min(seconds, 1.0))
+            except TimeoutError:
+                return True
+        return not self.outage
+
+
+def _seconds(text: str) -> float:
+    if text.endswith('ms'):
+        return float(text[:-2]) / 1000
+    return float(text[:-1])
+
+
+def _row(key: str, stored: Stored) -> dict[str, typing.Any]:
+    return {
+        'Key': key,
+        'Value': base64.b64encode(stored.value).decode(),
+        'ModifyIndex': stored.index,
+        'CreateIndex': stored.index,
+        'Flags': 0,
+        'LockIndex': int(stored.session is not None),
+        'Session': stored.session,
+    }
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for development: test runner and build of the binary."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,102 @@
+"""Run the unittest suite and close with counts alone on a line.
+
+Modules run side by side in worker processes, since most of their time is
+spent waiting for processes under test. Tests named in KNOWN-RED.txt are
+passed over and printed.
+"""
+
+import concurrent.futures
+import io
+import os
+import pathlib
+import sys
+import typing
+import unittest
+
+_ROOT: typing.Final = pathlib.Path(__file__).resolve().parent.parent
+_KNOWN_RED: typing.Final = _ROOT / 'KNOWN-RED.txt'
+_PARALLEL: typing.Final = 4
+
+
+class ModuleResult(typing.NamedTuple):
+    """Counts and report of one test module."""
+
+    module: str
+    passed: int
+    failed: int
+    skipped: int
+    report: str
+
+
+def known_red() -> frozenset[str]:
+    """Return the ids of tests listed in KNOWN-RED.txt (`test: ID`)."""
+    if not _KNOWN_RED.exists():
+        return frozenset()
+    lines = _KNOWN_RED.read_text(encoding='utf-8').splitlines()
+    return frozenset(
+        line.partition(':')[2].strip()
+        for line in lines
+        if line.startswith('test:')
+    )
+
+
+def flatten(suite: unittest.TestSuite) -> typing.Iterator[unittest.TestCase]:
+    """Yield the single tests of a suite."""
+    for test in suite:
+        if isinstance(test, unittest.TestSuite):
+            yield from flatten(test)
+        else:
+            yield test
+
+
+def run_module(module: str) -> ModuleResult:
+    """Run all tests of one module."""
+    red = known_red()
+    loaded = unittest.defaultTestLoader.loadTestsFromName(module)
+    tests = list(flatten(loaded))
+    chosen = [test for test in tests if test.id() not in red]
+    stream = io.StringIO()
+    runner = unittest.TextTestRunner(stream=stream, verbosity=1)
+    outcome = runner.run(unittest.TestSuite(chosen))
+    failed = len(
+        {test.id() for test, _ in (*outcome.failures, *outcome.errors)}
+    )
+    skipped = len(outcome.skipped) + len(tests) - len(chosen)
+    passed = len(tests) - failed - skipped
+    return ModuleResult(module, passed, failed, skipped, stream.getvalue())
+
+
+def find_modules(arguments: list[str]) -> list[str]:
+    """Return the test modules to run: all, or those that are named."""
+    if arguments:
+        return arguments
+    return sorted(
+        '.'.join(path.relative_to(_ROOT).with_suffix('').parts)
+        for path in (_ROOT / 'tests').rglob('test_*.py')
+    )
+
+
+def main() -> int:
+    """Run the modules; return 1 if a test failed or none ran."""
+    sys.path.insert(0, str(_ROOT))
+    modules = find_modules(sys.argv[1:])
+    workers = min(_PARALLEL, os.cpu_count() or 1)
+    with concurrent.futures.ProcessPoolExecutor(workers) as pool:
+        results = list(pool.map(run_module, modules))
+    for result in results:
+        print(
+            f'{result.module}: {result.passed} passed, {result.failed} failed',
+        )
+        if result.failed:
+            print(result.report)
+    for test in sorted(known_red()):
+        print(f'known red, passed over: {test}')
+    passed = sum(result.passed for result in results)
+    failed = sum(result.failed for result in results)
+    skipped = sum(result.skipped for result in results)
+    print(f'{passed} passed, {failed} failed, {skipped} skipped')
+    return int(failed > 0 or passed == 0)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
