Add submit, status and demo commands

The platform stand-in ended its pending watches only after aiohttp's 60 s at a stop; it now waits 1 s.

--- a/src/poplardrum/callers/replies.py
+++ b/src/poplardrum/callers/replies.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from poplardrum import errors, ids
+from poplardrum.callers import bodies
 from poplardrum.peers import messages
 
 _BAD_GATEWAY: typing.Final = 502
@@ -33,34 +34,6 @@
 }
 
 
-class TaskReply(msgspec.Struct, frozen=True):
-    """End of one task as its caller sees it.
-
-    `safe_to_resubmit` tells whether the task may be submitted again under a
-    new key without running a non-idempotent request twice.
-    """
-
-    code: str
-    verdict: str
-    output: str
-    worker: str
-    seconds: float
-    safe_to_resubmit: bool
-
-
-class JobReplyBody(msgspec.Struct, frozen=True):
-    """Body of every reply about a job."""
-
-    key: str
-    job: str
-    state: str
-    code: str
-    verdict: str
-    message: str
-    retry_after_ms: int | None
-    tasks: list[TaskReply]
-
-
 def from_answer(
     answer: messages.Answer,
     key: ids.IdempotencyKey,
@@ -68,7 +41,7 @@
 ) -> web.Response:
     """Build the reply for a coordinator's answer."""
     flags = idempotent or [False for _ in answer.tasks]
-    body = JobReplyBody(
+    body = bodies.JobReplyBody(
         key=key,
         job=answer.job,
         state=_state(answer.code),
@@ -86,7 +59,7 @@
 
 def from_error(error: errors.PoplardrumError, key: str = '') -> web.Response:
     """Build the reply for a request that was refused or has failed."""
-    body = JobReplyBody(
+    body = bodies.JobReplyBody(
         key=key,
         job='',
         state='failed',
@@ -101,7 +74,7 @@
 
 def _response(
     code: errors.Code,
-    body: JobReplyBody,
+    body: bodies.JobReplyBody,
     retry_after: float | None,
 ) -> web.Response:
     headers = {}
@@ -115,8 +88,8 @@
     )
 
 
-def _task(outcome: messages.TaskOutcome, idempotent: bool) -> TaskReply:
-    return TaskReply(
+def _task(outcome: messages.TaskOutcome, idempotent: bool) -> bodies.TaskReply:
+    return bodies.TaskReply(
         code=outcome.code.value,
         verdict=outcome.verdict.value,
         output=outcome.output,
--- a/src/poplardrum/cli.py
+++ b/src/poplardrum/cli.py
@@ -93,6 +93,76 @@
         )
 
 
+@cappa.command(name='submit', help='Submit a job and print its answer.')
+@dataclasses.dataclass
+class SubmitCommand:
+    """Submit a job; exit code 0 complete, 1 failed, 3 refused."""
+
+    job: typing.Annotated[
+        pathlib.Path,
+        cappa.Arg(help='Job file (JSON).'),
+    ]
+    entry: typing.Annotated[
+        str,
+        cappa.Arg(long='--entry', help='Addresses of entries: A[,B].'),
+    ]
+    credential: typing.Annotated[
+        pathlib.Path,
+        cappa.Arg(long='--credential-file', help='File of the credential.'),
+    ]
+    key: typing.Annotated[
+        str,
+        cappa.Arg(long='--key', help='Idempotency key; default is random.'),
+    ] = ''
+    as_json: typing.Annotated[
+        bool,
+        cappa.Arg(long='--json', help='Print the reply as JSON.'),
+    ] = False
+
+    def __call__(self) -> int:
+        """Submit and print."""
+        from poplardrum.commands import jobs
+
+        return jobs.submit(
+            self.job,
+            self.entry,
+            self.credential,
+            self.key,
+            as_json=self.as_json,
+        )
+
+
+@cappa.command(name='status', help='Print members, tenants and quantiles.')
+@dataclasses.dataclass
+class StatusCommand:
+    """Print the status; exit code 1 when a member needs attention."""
+
+    entry: Entry
+    token: Token
+    as_json: typing.Annotated[
+        bool,
+        cappa.Arg(long='--json', help='Print the reply as JSON.'),
+    ] = False
+
+    def __call__(self) -> int:
+        """Fetch and print."""
+        from poplardrum.commands import status
+
+        return status.show(self.entry, self.token, as_json=self.as_json)
+
+
+@cappa.command(name='demo', help='Run a job through a small system.')
+@dataclasses.dataclass
+class DemoCommand:
+    """Start a system on loopback, run a job and check the answer."""
+
+    def __call__(self) -> int:
+        """Run the demo."""
+        from poplardrum.commands import demo
+
+        return demo.run()
+
+
 @cappa.command(name='version', help='Print the version.')
 @dataclasses.dataclass
 class VersionCommand:
@@ -113,7 +183,13 @@
     """The program and its commands."""
 
     command: cappa.Subcommands[
-        EntryCommand | AgentCommand | StandInCommand | VersionCommand
+        EntryCommand
+        | AgentCommand
+        | StandInCommand
+        | SubmitCommand
+        | StatusCommand
+        | DemoCommand
+        | VersionCommand
     ]
 
 
--- a/src/poplardrum/commands/processes.py
+++ b/src/poplardrum/commands/processes.py
@@ -10,6 +10,8 @@
 
 from poplardrum import ini, logs, settings
 
+_STAND_IN_STOP: typing.Final = 1.0
+
 
 def run_loop(main: typing.Coroutine[typing.Any, typing.Any, None]) -> None:
     """Run `main` on uvloop with its use of io_uring switched off.
@@ -78,7 +80,12 @@
                 endpoint.announce(stand_in, listen, agent),
             )
             stack.callback(task.cancel)
-        runner = web.AppRunner(app, access_log=None)
+        # Pending watches would hold up the end for aiohttp's 60 s.
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=_STAND_IN_STOP,
+        )
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
         await web.TCPSite(runner, *ini.address(listen)).start()
--- /dev/null
+++ b/src/poplardrum/commands/status.py
@@ -0,0 +1,118 @@
+"""Print what an entry says of the system."""
+
+import json
+import typing
+
+from poplardrum import errors
+from poplardrum.commands import tables
+from poplardrum.standins import http
+
+Fields = dict[str, typing.Any]
+_OK: typing.Final = 200
+_WORKERS: typing.Final = (
+    'id',
+    'role',
+    'zone',
+    'state',
+    'linked',
+    'slots',
+    'free',
+    'queued',
+    'speed',
+    'silent_s',
+    'config',
+    'ejected_by',
+)
+_TENANTS: typing.Final = ('name', 'region', 'share', 'backlog_s', 'replies')
+_LATENCY: typing.Final = ('tenant', 'class', 'count', 'p50', 'p90', 'p99')
+
+
+def show(entry: str, token: str, *, as_json: bool = False) -> int:
+    """Print the status; return 1 when a member needs attention."""
+    status = fetch(entry, token)
+    print(json.dumps(status) if as_json else as_text(status))
+    return int(bool(warnings(status)))
+
+
+def fetch(entry: str, token: str) -> Fields:
+    """Return the status; raise `unavailable` without a good reply."""
+    try:
+        code, reply = http.call(
+            'GET',
+            f'http://{entry}/v1/operator/status',
+            headers={'Authorization': f'Bearer {token}'},
+        )
+    except OSError as error:
+        raise errors.refusal(
+            errors.Code.unavailable,
+            f'{entry}: {error}',
+        ) from None
+    if code != _OK:
+        raise errors.refusal(
+            errors.Code.unavailable,
+            f'{entry}: {code} {reply}',
+        )
+    return typing.cast(Fields, reply)
+
+
+def warnings(status: Fields) -> list[str]:
+    """Return a line for each member that keeps work from running."""
+    found = [
+        f'{row["id"]}: {problem}'
+        for row in status['members']
+        for problem in _problems(row)
+    ]
+    if not status['config']:
+        found.append('no configuration is in force')
+    newest = max((row['config'] for row in status['members']), default=0)
+    for row in status['members']:
+        if row['linked'] and row['config'] < newest:
+            found.append(f'{row["id"]}: configuration behind {newest}')
+    return found
+
+
+def _problems(row: Fields) -> typing.Iterator[str]:
+    if row['state'] == 'gone':
+        return
+    if row['role'] == 'agent' and not row['linked']:
+        yield 'no link'
+    elif row['role'] == 'agent' and not row['slots']:
+        yield 'no endpoint'
+    if row['state'] == 'leaving':
+        yield 'leaving'
+    if row['ejected_by']:
+        yield f'ejected by {len(row["ejected_by"])} coordinators'
+
+
+def as_text(status: Fields) -> str:
+    """Return tables of members, tenants and response times."""
+    head = (
+        f'entry {status["entry"]} {status["state"]}, configuration '
+        f'{status["config"]}, {status["requests"]} requests in flight'
+    )
+    parts = [
+        head,
+        *(f'ATTENTION {line}' for line in warnings(status)),
+        '',
+        _part(_WORKERS, status['members']),
+        '',
+        _part(_TENANTS, status['tenants']),
+    ]
+    if status['latency']:
+        parts += ['', _part(_LATENCY, status['latency'])]
+    return '\n'.join(parts)
+
+
+def _part(columns: tuple[str, ...], rows: list[Fields]) -> str:
+    return tables.table(
+        columns,
+        ([_cell(row[column]) for column in columns] for row in rows),
+    )
+
+
+def _cell(content: typing.Any) -> typing.Any:
+    if isinstance(content, dict):
+        return ' '.join(f'{key}={count}' for key, count in content.items())
+    if isinstance(content, list):
+        return ' '.join(content) or '-'
+    return content
--- a/src/poplardrum/metrics.py
+++ b/src/poplardrum/metrics.py
@@ -44,6 +44,16 @@
         self.latency = Histograms('poplardrum_response_seconds')
         self.registry.register(self.latency)
 
+    def replies_by_tenant(self) -> dict[str, dict[str, int]]:
+        """Return the replies counted so far by tenant and code."""
+        found: dict[str, dict[str, int]] = {}
+        for family in self.replies.collect():
+            for sample in family.samples:
+                if sample.name.endswith('_total'):
+                    codes = found.setdefault(sample.labels['tenant'], {})
+                    codes[sample.labels['code']] = int(sample.value)
+        return found
+
     def text(self) -> bytes:
         """Return all figures in the Prometheus text form."""
         return prometheus_client.generate_latest(self.registry)
--- a/src/poplardrum/operators/routes.py
+++ b/src/poplardrum/operators/routes.py
@@ -8,35 +8,12 @@
 
 from poplardrum import errors
 from poplardrum.callers import replies, requests
-from poplardrum.operators import document
+from poplardrum.operators import document, status
 
 if typing.TYPE_CHECKING:
     from poplardrum.daemons import entry
 
 
-class MemberStatus(msgspec.Struct, frozen=True):
-    """One member as an entry sees it."""
-
-    id: str
-    role: str
-    zone: str
-    state: str
-    linked: bool
-    config: int
-    slots: int = 0
-    free: int = 0
-    queued: int = 0
-
-
-class Status(msgspec.Struct, frozen=True):
-    """Body of `GET /v1/operator/status`."""
-
-    entry: str
-    config: int
-    members: list[MemberStatus]
-    latency: list[dict[str, typing.Any]]
-
-
 def routes(process: 'entry.Entry') -> list[web.RouteDef]:
     """Return the routes of the operators' interface."""
     operator = OperatorRoutes(process)
@@ -100,44 +77,7 @@
             self.authenticate(request)
         except errors.PoplardrumError as error:
             return replies.from_error(error)
-        latency = self.process.metrics.latency
-        body = Status(
-            entry=self.process.member.id,
-            config=self.process.configuration.number,
-            members=self.members(),
-            latency=[
-                {
-                    'tenant': labels[0],
-                    'class': labels[1],
-                    **latency.quantiles(labels),
-                }
-                for labels in latency.series
-            ],
-        )
         return web.Response(
-            body=msgspec.json.encode(body),
+            body=msgspec.json.encode(status.build(self.process)),
             content_type='application/json',
         )
-
-    def members(self) -> list[MemberStatus]:
-        """Return the status of all known members."""
-        found = []
-        for member in self.process.known_members():
-            link = self.process.links.get(member.id)
-            load = link.load if link else None
-            own = member.id == self.process.member.id
-            number = link.config if link else 0
-            found.append(
-                MemberStatus(
-                    id=member.id,
-                    role=member.role.value,
-                    zone=member.zone,
-                    state=member.state.value,
-                    linked=own or link is not None,
-                    config=self.process.configuration.number if own else number,
-                    slots=load.slots if load else 0,
-                    free=load.free if load else 0,
-                    queued=load.queued if load else 0,
-                ),
-            )
-        return found
--- /dev/null
+++ b/src/poplardrum/operators/status.py
@@ -0,0 +1,153 @@
+"""Status of the system as one entry sees it."""
+
+import time
+import typing
+
+import msgspec
+
+from poplardrum import ids
+from poplardrum.peers import links, messages
+
+if typing.TYPE_CHECKING:
+    from poplardrum.daemons import entry
+
+
+class MemberStatus(msgspec.Struct, frozen=True):
+    """One member; `silent_s` is the age of its last frame in seconds."""
+
+    id: str
+    role: str
+    region: str
+    zone: str
+    state: str
+    linked: bool
+    config: int
+    slots: int = 0
+    free: int = 0
+    queued: int = 0
+    speed: float = 0
+    silent_s: float = 0
+    ejected_by: list[str] = []
+
+
+class TenantStatus(msgspec.Struct, frozen=True):
+    """One tenant: its rule, and replies of this entry by code."""
+
+    name: str
+    region: str
+    share: float
+    max_jobs: int
+    max_tasks: int
+    backlog_s: float
+    replies: dict[str, int]
+
+
+class LatencyStatus(msgspec.Struct, frozen=True):
+    """Response times in seconds of one tenant and class at this entry."""
+
+    tenant: str
+    job_class: str = msgspec.field(name='class')
+    count: float
+    p50: float
+    p90: float
+    p99: float
+
+
+class Status(msgspec.Struct, frozen=True):
+    """Body of `GET /v1/operator/status`."""
+
+    entry: str
+    state: str
+    config: int
+    requests: int
+    members: list[MemberStatus]
+    tenants: list[TenantStatus]
+    latency: list[LatencyStatus]
+
+
+def build(process: 'entry.Entry') -> Status:
+    """Return all that this entry knows at this moment."""
+    return Status(
+        entry=process.member.id,
+        state='leaving' if process.stopping.is_set() else 'ready',
+        config=process.configuration.number,
+        requests=process.requests,
+        members=[
+            _member(process, member) for member in process.known_members()
+        ],
+        tenants=_tenants(process),
+        latency=[
+            LatencyStatus(
+                labels[0],
+                labels[1],
+                **process.metrics.latency.quantiles(labels),
+            )
+            for labels in sorted(process.metrics.latency.series)
+        ],
+    )
+
+
+def _member(
+    process: 'entry.Entry',
+    member: messages.Member,
+) -> MemberStatus:
+    link = process.links.get(member.id) or process.inbound.get(member.id)
+    own = member.id == process.member.id
+    load = _load(link)
+    return MemberStatus(
+        id=member.id,
+        role=member.role.value,
+        region=member.region,
+        zone=member.zone,
+        state=member.state.value,
+        linked=own or link is not None,
+        config=process.configuration.number if own else _number(link),
+        slots=load.slots,
+        free=load.free,
+        queued=load.queued,
+        speed=load.speed if load.slots else 0,
+        silent_s=_silence(link),
+        ejected_by=[
+            other.member.id
+            for other in process.links.values()
+            if member.id in ejected_by(other)
+        ],
+    )
+
+
+def ejected_by(link: links.Link) -> typing.Collection[ids.MemberId]:
+    """Return the workers that the agent of a link sends no tasks now."""
+    found: typing.Collection[ids.MemberId] = getattr(link.load, 'ejected', ())
+    return found
+
+
+def _load(link: links.Link | None) -> messages.Load:
+    return (link.load if link else None) or messages.Load(0, 0, 0)
+
+
+def _number(link: links.Link | None) -> int:
+    return link.config if link else 0
+
+
+def _silence(link: links.Link | None) -> float:
+    return round(time.monotonic() - link.last_seen, 3) if link else 0
+
+
+def _tenants(process: 'entry.Entry') -> list[TenantStatus]:
+    replies = process.metrics.replies_by_tenant()
+    backlog: dict[str, float] = {}
+    for link in process.links.values():
+        for tenant, seconds in _load(link).backlog.items():
+            backlog[tenant] = backlog.get(tenant, 0) + seconds
+    return [
+        TenantStatus(
+            name=name,
+            region=rule.region or process.member.region,
+            share=rule.share,
+            max_jobs=rule.max_jobs,
+            max_tasks=rule.max_tasks,
+            backlog_s=round(backlog.get(name, 0), 3),
+            replies=replies.get(name, {}),
+        )
+        for name, rule in sorted(process.configuration.rules.tenants.items())
+    ]
--- a/src/poplardrum/standins/fleet.py
+++ b/src/poplardrum/standins/fleet.py
@@ -275,6 +275,16 @@
         }
         return len(numbers) == 1 and 0 not in numbers
 
+    def error_lines(self) -> list[str]:
+        """Return the lines of all logs that report a fault."""
+        return [
+            f'{process.name}: {line}'
+            for process in self.all_processes()
+            if process.log.exists()
+            for line in process.log.read_text(errors='replace').splitlines()
+            if ' ERROR ' in line or line.startswith('Traceback')
+        ]
+
     def starts(self) -> dict[str, int]:
         """Return how often each task was started, over all endpoints."""
         total: dict[str, int] = {}
