Answer every wrong request with a coded reply; add metrics

Requests that aiohttp itself refuses (unknown path, wrong method, large header, bytes that are not HTTP, broken chunks) got text replies without a code. They now get the JSON form of all other replies. A body that stops half way is refused after limits.body_time. A fetch waits for at most the rule limits.max_wait and then answers with the running state. The payload limit counted characters instead of bytes. Replies that were errors were not counted; /metrics now has replies, refusals, items, link states, queue, running tasks, platform calls and the configuration number.

--- /dev/null
+++ b/src/poplardrum/callers/guard.py
@@ -0,0 +1,113 @@
+"""Coded JSON replies where HTTP itself goes wrong."""
+
+import asyncio
+import functools
+import logging
+import typing
+
+from aiohttp import web
+
+from poplardrum import errors
+from poplardrum.callers import replies
+
+logger = logging.getLogger(__name__)
+
+_SERVER_ERROR: typing.Final = 500
+_TOO_LARGE: typing.Final = 413
+
+Handler = typing.Callable[
+    [web.Request],
+    typing.Awaitable[web.StreamResponse],
+]
+
+
+class CodedHandler(web.RequestHandler):
+    """Answer requests that cannot be parsed with a coded reply."""
+
+    __slots__ = ()
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = _SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the reply and close the connection after it.
+
+        Only a fault of ours, status 500, is logged with its stack.
+        """
+        error = errors.uncertain(errors.Code.internal, 'internal error')
+        if status == _SERVER_ERROR:
+            logger.error('request failed', exc_info=exc)
+        else:
+            logger.info('request is not HTTP: %r', exc)
+            error = errors.refusal(errors.Code.bad_request, message or 'HTTP')
+        response = replies.from_error(error, status=status)
+        response.force_close()
+        return response
+
+
+@web.middleware
+async def coded(
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    """Turn HTTP errors and faults of a handler into coded replies."""
+    try:
+        return await handler(request)
+    except errors.PoplardrumError as error:
+        return replies.from_error(error)
+    except web.HTTPException as problem:
+        return _from_problem(request, problem)
+    except Exception:
+        logger.exception('%s %s failed', request.method, request.path)
+        return replies.from_error(
+            errors.uncertain(errors.Code.internal, 'internal error'),
+        )
+
+
+def _from_problem(
+    request: web.Request,
+    problem: web.HTTPException,
+) -> web.Response:
+    code = errors.Code.bad_request
+    if problem.status == _TOO_LARGE:
+        code = errors.Code.too_large
+    response = replies.from_error(
+        errors.refusal(
+            code,
+            f'{request.method} {request.path}: {problem.reason}',
+        ),
+        status=problem.status,
+    )
+    if 'Allow' in problem.headers:
+        response.headers['Allow'] = problem.headers['Allow']
+    return response
+
+
+async def listen(
+    runner: web.AppRunner,
+    host: str,
+    port: int,
+    max_header: int,
+) -> asyncio.Server:
+    """Listen with coded replies; `runner` must have been set up.
+
+    `max_header` bounds the request line and each header, in bytes.
+    """
+    loop = asyncio.get_running_loop()
+    server = runner.server
+    assert server is not None
+    options: dict[str, typing.Any] = {
+        'loop': loop,
+        'access_log': None,
+        'max_line_size': max_header,
+        'max_field_size': max_header,
+    }
+    return await loop.create_server(
+        functools.partial(CodedHandler, server, **options),
+        host,
+        port,
+        reuse_address=True,
+    )
--- a/src/poplardrum/callers/replies.py
+++ b/src/poplardrum/callers/replies.py
@@ -57,8 +57,15 @@
     return _response(answer.code, body, answer.retry_after)
 
 
-def from_error(error: errors.PoplardrumError, key: str = '') -> web.Response:
-    """Build the reply for a request that was refused or has failed."""
+def from_error(
+    error: errors.PoplardrumError,
+    key: str = '',
+    status: int | None = None,
+) -> web.Response:
+    """Build the reply for a request that was refused or has failed.
+
+    `status` replaces the HTTP status that belongs to the error's code.
+    """
     body = bodies.JobReplyBody(
         key=key,
         job='',
@@ -69,7 +76,10 @@
         retry_after_ms=_milliseconds(error.retry_after),
         tasks=[],
     )
-    return _response(error.code, body, error.retry_after)
+    response = _response(error.code, body, error.retry_after)
+    if status is not None:
+        response.set_status(status)
+    return response
 
 
 def _response(
--- a/src/poplardrum/callers/requests.py
+++ b/src/poplardrum/callers/requests.py
@@ -1,11 +1,13 @@
 """Checks of callers' requests."""
 
+import asyncio
 import hashlib
 import json
 import re
 import typing
 
 import msgspec
+from aiohttp import web
 
 from poplardrum import errors, ids, settings
 from poplardrum.operators import rules
@@ -71,23 +73,75 @@
     return ids.IdempotencyKey(text)
 
 
-def read_job(body: bytes, limits: settings.Limits) -> JobBody:
-    """Decode and check a submission; raise an error that names the field."""
+async def read_body(request: web.Request, seconds: float) -> bytes:
+    """Read a body; raise a refusal when it does not arrive whole in time."""
+    try:
+        async with asyncio.timeout(seconds):
+            return await request.read()
+    except TimeoutError:
+        problem = f'body: incomplete after {seconds:g} s'
+    except (web.RequestPayloadError, OSError) as error:
+        problem = f'body: broken off: {error}'
+    raise errors.refusal(errors.Code.bad_request, problem)
+
+
+def check_attempt(request: web.Request) -> bool:
+    """Return whether a submission is a first attempt.
+
+    Without a key of the caller's own no earlier attempt can exist.
+    """
+    attempt = request.headers.get('Poplardrum-Attempt', 'again')
+    if attempt not in {'first', 'again'}:
+        raise errors.refusal(
+            errors.Code.bad_request,
+            f'Poplardrum-Attempt: expected first or again, got {attempt!r}',
+        )
+    return attempt == 'first' or 'Idempotency-Key' not in request.headers
+
+
+def read_key(request: web.Request, limit: int) -> ids.IdempotencyKey:
+    """Return the caller's key, or a new one when none was given."""
+    keys = request.headers.getall('Idempotency-Key', [])
+    if len(keys) > 1:
+        raise errors.refusal(
+            errors.Code.bad_request,
+            'Idempotency-Key: given more than once',
+        )
+    return check_key(keys[0], limit) if keys else ids.new_key()
+
+
+def read_wait(query: typing.Mapping[str, str]) -> bool:
+    """Return whether a fetch waits for the end of its job."""
+    wait = query.get('wait', '0')
+    if wait not in {'0', '1'}:
+        raise errors.refusal(
+            errors.Code.bad_request,
+            f'wait: expected 0 or 1, got {wait!r}',
+        )
+    return wait == '1'
+
+
+def read_job(body: bytes, limits: settings.Limits, tasks: int) -> JobBody:
+    """Decode and check a submission; raise an error that names the field.
+
+    `tasks` is the operators' limit beside that of the process.
+    """
     _check_nesting(body, limits.nesting)
     try:
         job = msgspec.json.decode(body, type=JobBody)
-    except (msgspec.DecodeError, RecursionError) as error:
+    except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise errors.refusal(errors.Code.bad_request, str(error)) from None
-    if len(job.tasks) > limits.tasks:
+    allowed = min(limits.tasks, tasks)
+    if len(job.tasks) > allowed:
         raise errors.refusal(
             errors.Code.too_many_tasks,
-            f'tasks: {len(job.tasks)} given, {limits.tasks} allowed',
+            f'tasks: {len(job.tasks)} given, {allowed} allowed',
         )
     for index, task in enumerate(job.tasks):
-        if len(task.payload) > limits.payload:
+        if len(task.payload.encode()) > limits.payload:
             raise errors.refusal(
                 errors.Code.too_large,
-                f'tasks[{index}].payload: over {limits.payload} characters',
+                f'tasks[{index}].payload: over {limits.payload} bytes',
             )
     return job
 
--- a/src/poplardrum/callers/routes.py
+++ b/src/poplardrum/callers/routes.py
@@ -20,6 +20,9 @@
 _REPLY_MARGIN: typing.Final = 2.0
 _FETCH_SECONDS: typing.Final = 60.0
 
+_TENANT: typing.Final = 'tenant'
+_KEY: typing.Final = 'key'
+
 Handler = typing.Callable[[web.Request], typing.Awaitable[web.Response]]
 
 
@@ -45,12 +48,14 @@
 
         async def guard(request: web.Request) -> web.Response:
             self.process.requests += 1
+            request[_TENANT] = ids.TenantName('')
             try:
                 return await handler(request)
             except errors.PoplardrumError as error:
-                return replies.from_error(error)
+                return self.refused(request, error)
             except web.HTTPRequestEntityTooLarge:
-                return replies.from_error(
+                return self.refused(
+                    request,
                     errors.refusal(errors.Code.too_large, 'body is too large'),
                 )
             finally:
@@ -58,6 +63,26 @@
 
         return guard
 
+    def refused(
+        self,
+        request: web.Request,
+        error: errors.PoplardrumError,
+    ) -> web.Response:
+        """Count, log and build the reply of a request that failed."""
+        logger.info(
+            '%s %s: %s: %s',
+            request.method,
+            request.path,
+            error.code.value,
+            error.message,
+        )
+        self.process.metrics.reply_sent(
+            request[_TENANT],
+            error.code.value,
+            refused=error.verdict is errors.Verdict.not_run,
+        )
+        return replies.from_error(error, request.get(_KEY, ''))
+
     async def submit(self, request: web.Request) -> web.Response:
         """Run a job and answer with all of its tasks."""
         started = time.monotonic()
@@ -67,16 +92,19 @@
             request.headers.get('Authorization'),
             current,
         )
-        body = await request.read()
-        job = requests.read_job(body, self.process.settings.limits)
+        request[_TENANT] = tenant
+        limits = self.process.settings.limits
+        body = await requests.read_body(request, limits.body_time)
+        job = requests.read_job(body, limits, current.limits.max_tasks_per_job)
         item = self.submit_item(request, tenant, job, requests.digest_of(body))
+        request[_KEY] = item.key
         logs.job_id.set(item.key)
         answer = await self.process.router.call(
             item,
             self.region(tenant, current),
             item.deadline_ms / 1000 + _REPLY_MARGIN,
         )
-        self.record(tenant, item.job_class, answer.code, started)
+        self.record(item, answer, started)
         return replies.from_answer(
             answer,
             item.key,
@@ -93,20 +121,15 @@
         """Build the request to the coordinator."""
         limits = self.process.settings.limits
         current = self.process.configuration.rules
-        key_header = request.headers.get('Idempotency-Key')
-        key = ids.new_key()
-        if key_header is not None:
-            key = requests.check_key(key_header, limits.key)
-        attempt = request.headers.get('Poplardrum-Attempt', '')
         job_class = ids.ClassName(job.job_class)
         rule = current.classes.get(job_class, rules.ClassRule())
         region = self.region(tenant, current)
         return messages.SubmitJob(
             request=self.process.router.next_request(),
             tenant=tenant,
-            key=key,
+            key=requests.read_key(request, limits.key),
             digest=digest,
-            first=key_header is None or attempt == 'first',
+            first=requests.check_attempt(request),
             job_class=job_class,
             urgency=rule.urgency,
             deadline_ms=job.deadline_ms or rule.deadline * 1000,
@@ -117,16 +140,40 @@
         )
 
     async def fetch(self, request: web.Request) -> web.Response:
-        """Answer with a known job; `?wait=1` waits for its end."""
+        """Answer with a known job; `?wait=1` waits for its end.
+
+        The wait is bounded by the operators' limit; a job that still runs
+        then is answered as running.
+        """
         self.process.ready()
         tenant, key = self.named_job(request)
-        item = messages.FetchJob(
+        if requests.read_wait(request.query):
+            limit = self.process.configuration.rules.limits.max_wait
+            try:
+                return await self.call(
+                    self.fetch_item(tenant, key, True), limit
+                )
+            except errors.PoplardrumError as error:
+                if error.code is not errors.Code.deadline:
+                    raise
+        return await self.call(
+            self.fetch_item(tenant, key, False),
+            _FETCH_SECONDS,
+        )
+
+    def fetch_item(
+        self,
+        tenant: ids.TenantName,
+        key: ids.IdempotencyKey,
+        wait: bool,
+    ) -> messages.FetchJob:
+        """Build the request for the answer of a known key."""
+        return messages.FetchJob(
             self.process.router.next_request(),
             tenant,
             key,
-            request.query.get('wait') == '1',
+            wait,
         )
-        return await self.call(item)
 
     async def cancel(self, request: web.Request) -> web.Response:
         """Cancel a known job and answer with what ran of it."""
@@ -137,15 +184,17 @@
             tenant,
             key,
         )
-        return await self.call(item)
+        return await self.call(item, _FETCH_SECONDS)
 
     async def call(
         self,
         item: messages.FetchJob | messages.CancelJob,
+        seconds: float,
     ) -> web.Response:
         """Send a request about a known job to its coordinator."""
         region = self.region(item.tenant, self.process.configuration.rules)
-        answer = await self.process.router.call(item, region, _FETCH_SECONDS)
+        answer = await self.process.router.call(item, region, seconds)
+        self.count(item.tenant, answer)
         return replies.from_answer(answer, item.key, [])
 
     def named_job(
@@ -157,8 +206,12 @@
             request.headers.get('Authorization'),
             self.process.configuration.rules,
         )
+        request[_TENANT] = tenant
         limit = self.process.settings.limits.key
-        return tenant, requests.check_key(request.match_info['key'], limit)
+        key = requests.check_key(request.match_info['key'], limit)
+        request[_KEY] = key
+        logs.job_id.set(key)
+        return tenant, key
 
     def region(self, tenant: ids.TenantName, current: rules.Rules) -> str:
         """Return the home region of a tenant."""
@@ -167,15 +220,34 @@
 
     def record(
         self,
-        tenant: ids.TenantName,
-        job_class: ids.ClassName,
-        code: errors.Code,
+        item: messages.SubmitJob,
+        answer: messages.Answer,
         started: float,
     ) -> None:
-        """Count a reply and its response time."""
-        self.process.metrics.replies.labels(tenant, code.value).inc()
+        """Count and log a reply and its response time."""
+        seconds = time.monotonic() - started
+        self.count(item.tenant, answer)
         self.process.metrics.latency.record(
+            item.tenant,
+            item.job_class,
+            seconds,
+        )
+        logger.info(
+            'tenant %s key %s: %s after %.3f s, %d tasks',
+            item.tenant,
+            item.key,
+            answer.code.value,
+            seconds,
+            len(item.tasks),
+            extra={'job': answer.job or item.key},
+        )
+
+    def count(self, tenant: ids.TenantName, answer: messages.Answer) -> None:
+        """Count the reply to one request."""
+        self.process.metrics.reply_sent(
             tenant,
-            job_class,
-            time.monotonic() - started,
+            answer.code.value,
+            refused=(
+                answer.verdict is errors.Verdict.not_run and not answer.tasks
+            ),
         )
--- a/src/poplardrum/daemons/agent.py
+++ b/src/poplardrum/daemons/agent.py
@@ -9,7 +9,8 @@
 import msgspec
 from aiohttp import web
 
-from poplardrum import ids, settings
+from poplardrum import ids, metrics, settings
+from poplardrum.callers import guard
 from poplardrum.daemons import (
     configuration,
     coordinator,
@@ -47,6 +48,12 @@
         """Return the load of the endpoint."""
         return self.worker.load()
 
+    def gauges(self) -> typing.Iterator[metrics.Gauge]:
+        """Return present values for `/metrics`."""
+        yield from super().gauges()
+        yield metrics.Gauge('running_tasks', len(self.worker.running))
+        yield metrics.Gauge('running_jobs', len(self.coordinator.jobs))
+
     def observe(self, link: links.Link) -> None:
         """Offer the configuration to an entry that runs by an older one."""
         if link.member.role is messages.Role.entry:
@@ -149,6 +156,7 @@
             config.platform.timeout,
         )
         stack.push_async_callback(platform.close)
+        process.platform_calls = platform.calls
         await links.serve(process, stack)
         await serve_http(process, stack)
         process.spawn(membership.register(process, platform), 'register')
@@ -165,7 +173,7 @@
     stack: contextlib.AsyncExitStack,
 ) -> None:
     """Listen for the endpoint, for metrics and for probes."""
-    app = web.Application()
+    app = web.Application(middlewares=[guard.coded])
     app.add_routes(
         [
             web.post('/announce', process.announce),
--- a/src/poplardrum/daemons/entry.py
+++ b/src/poplardrum/daemons/entry.py
@@ -7,7 +7,8 @@
 
 from aiohttp import web
 
-from poplardrum import errors, settings
+from poplardrum import errors, metrics, settings
+from poplardrum.callers import guard
 from poplardrum.callers import routes as caller_routes
 from poplardrum.daemons import (
     configuration,
@@ -40,6 +41,11 @@
         self.router = router.Router(self)
         self.requests = 0
 
+    def gauges(self) -> typing.Iterator[metrics.Gauge]:
+        """Return present values for `/metrics`."""
+        yield from super().gauges()
+        yield metrics.Gauge('requests_in_flight', self.requests)
+
     def observe(self, link: links.Link) -> None:
         """Offer the configuration to a peer that runs by an older one."""
         configuration.offer(self, link)
@@ -108,6 +114,7 @@
         )
         stack.push_async_callback(platform.close)
         process = Entry(config, stack, platform)
+        process.platform_calls = platform.calls
         signals.install(process.stopping)
         await links.serve(process, stack)
         await serve_http(process, stack)
@@ -127,7 +134,10 @@
     stack: contextlib.AsyncExitStack,
 ) -> None:
     """Listen for callers, operators and probes."""
-    app = web.Application(client_max_size=process.settings.limits.body)
+    app = web.Application(
+        client_max_size=process.settings.limits.body,
+        middlewares=[guard.coded],
+    )
     app.add_routes(
         [
             *caller_routes.routes(process),
--- a/src/poplardrum/daemons/node.py
+++ b/src/poplardrum/daemons/node.py
@@ -1,6 +1,7 @@
 """What an entry and an agent have in common."""
 
 import asyncio
+import collections
 import contextlib
 import logging
 import random
@@ -10,6 +11,7 @@
 from aiohttp import web
 
 from poplardrum import ids, metrics, settings
+from poplardrum.callers import guard
 from poplardrum.coordination import views
 from poplardrum.operators import document
 from poplardrum.peers import links, messages
@@ -30,7 +32,8 @@
         self.settings = config
         self.stack = stack
         self.random = random.Random()
-        self.metrics = metrics.Metrics()
+        self.metrics = metrics.Metrics(self)
+        self.platform_calls: collections.Counter[str] = collections.Counter()
         self.stopping = asyncio.Event()
         host, port = config.listen.peers
         self.member = messages.Member(
@@ -81,7 +84,7 @@
 
     def frame(self, items: list[messages.AnyItem]) -> messages.Frame:
         """Wrap items for one peer with the state that every frame carries."""
-        self.metrics.frames.inc()
+        self.metrics.frame_sent(items)
         return messages.Frame(
             sent=time.monotonic(),
             config=self.configuration.number,
@@ -128,6 +131,23 @@
         link.outbox.close()
         logger.info('link to %s is down', link.member.id)
 
+    def gauges(self) -> typing.Iterator[metrics.Gauge]:
+        """Return present values for `/metrics`."""
+        yield metrics.Gauge('config_number', self.configuration.number)
+        yield metrics.Gauge('stopping', int(self.stopping.is_set()))
+        load = self.load()
+        if load is not None:
+            yield metrics.Gauge('slots', load.slots)
+            yield metrics.Gauge('free_slots', load.free)
+            yield metrics.Gauge('queued_tasks', load.queued)
+        for member in self.known_members():
+            linked = member.id in self.links or member.id in self.inbound
+            labels = {'member': member.id, 'state': member.state.value}
+            yield metrics.Gauge('link_up', int(linked), labels)
+        for call, count in self.platform_calls.items():
+            labels = {'call': call}
+            yield metrics.Gauge('platform_calls', count, labels)
+
     async def serve_metrics(self, request: web.Request) -> web.Response:
         """Return all figures in the Prometheus text form."""
         return web.Response(body=self.metrics.text(), content_type='text/plain')
@@ -159,20 +179,16 @@
     stack: contextlib.AsyncExitStack,
 ) -> None:
     """Serve HTTP on the address of the settings until the stack closes."""
-    runner = web.AppRunner(
-        app,
-        access_log=None,
-        max_field_size=process.settings.limits.header,
-        shutdown_timeout=process.settings.limits.drain,
-    )
+    limits = process.settings.limits
+    runner = web.AppRunner(app, shutdown_timeout=limits.drain)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
-    site = web.TCPSite(
+    listener = await guard.listen(
         runner,
         *process.settings.listen.http,
-        reuse_address=True,
+        max_header=limits.header,
     )
-    await site.start()
+    stack.callback(listener.close)
 
 
 async def bootstrap(process: Node) -> None:
--- a/src/poplardrum/metrics.py
+++ b/src/poplardrum/metrics.py
@@ -14,35 +14,94 @@
 _QUANTILES: typing.Final = (0.5, 0.9, 0.99)
 _MICROSECONDS: typing.Final = 1_000_000
 _MAX_SERIES: typing.Final = 512
+_PREFIX: typing.Final = 'poplardrum_'
 
 Labels = tuple[ids.TenantName, ids.ClassName]
 
 
+class Gauge(typing.NamedTuple):
+    """One present value: its name after the prefix, and its labels."""
+
+    name: str
+    value: float
+    labels: dict[str, str] = {}
+
+
+class Observed(typing.Protocol):
+    """A process whose present values are exported."""
+
+    def gauges(self) -> typing.Iterable[Gauge]:
+        """Return the present values."""
+
+
 class Metrics:
-    """Hold the figures of one process in a registry of its own."""
+    """Hold the figures of one process in a registry of its own.
 
-    def __init__(self) -> None:
-        """Register the counters and the histogram collector."""
+    Labels come from rules, members and codes, so series are bounded.
+    """
+
+    def __init__(self, observed: Observed | None = None) -> None:
+        """Register counters, histograms and the gauges of `observed`."""
         self.registry = registry.CollectorRegistry(auto_describe=False)
-        self.frames = prometheus_client.Counter(
-            'poplardrum_frames',
-            'Frames sent to peers',
-            registry=self.registry,
+        self.frames = self.counter('frames', 'Frames sent to peers')
+        self.wasted = self.counter(
+            'wasted_messages',
+            'Messages between processes that carried nothing of use',
+            'reason',
         )
-        self.replies = prometheus_client.Counter(
-            'poplardrum_replies',
+        self.items = self.counter('items', 'Items sent to peers', 'kind')
+        self.replies = self.counter(
+            'replies',
             'Replies to callers',
-            ('tenant', 'code'),
-            registry=self.registry,
+            'tenant',
+            'code',
         )
-        self.task_starts = prometheus_client.Counter(
-            'poplardrum_task_starts',
+        self.refusals = self.counter(
+            'refusals',
+            'Requests refused as not run',
+            'tenant',
+            'code',
+        )
+        self.task_starts = self.counter(
+            'task_starts',
             'Tasks started at the endpoint',
-            ('tenant',),
-            registry=self.registry,
+            'tenant',
+        )
+        self.ejections = self.counter(
+            'ejections',
+            'Workers ejected by this coordinator',
+            'worker',
         )
-        self.latency = Histograms('poplardrum_response_seconds')
+        self.latency = Histograms(f'{_PREFIX}response_seconds')
         self.registry.register(self.latency)
+        if observed is not None:
+            self.registry.register(Gauges(observed))
+
+    def counter(
+        self,
+        name: str,
+        description: str,
+        *labels: str,
+    ) -> prometheus_client.Counter:
+        """Register a counter."""
+        return prometheus_client.Counter(
+            _PREFIX + name,
+            description,
+            labels,
+            registry=self.registry,
+        )
+
+    def frame_sent(self, items: typing.Sequence[object]) -> None:
+        """Count a frame and the items it carries."""
+        self.frames.inc()
+        for item in items:
+            self.items.labels(type(item).__name__).inc()
+
+    def reply_sent(self, tenant: str, code: str, *, refused: bool) -> None:
+        """Count a reply to a caller; `tenant` is empty when unknown."""
+        self.replies.labels(tenant, code).inc()
+        if refused:
+            self.refusals.labels(tenant, code).inc()
 
     def replies_by_tenant(self) -> dict[str, dict[str, int]]:
         """Return the replies counted so far by tenant and code."""
@@ -59,6 +118,26 @@
         return prometheus_client.generate_latest(self.registry)
 
 
+class Gauges(registry.Collector):
+    """Read the present values of a process at each scrape."""
+
+    def __init__(self, observed: Observed) -> None:
+        """Keep the process."""
+        self.observed = observed
+
+    def collect(self) -> typing.Iterator[core.Metric]:
+        """Yield one family for each name."""
+        families: dict[str, core.Metric] = {}
+        for gauge in self.observed.gauges():
+            name = _PREFIX + gauge.name
+            family = families.setdefault(
+                name,
+                core.Metric(name, gauge.name.replace('_', ' '), 'gauge'),
+            )
+            family.add_sample(name, gauge.labels, gauge.value)
+        yield from families.values()
+
+
 class Histograms(registry.Collector):
     """One histogram for each tenant and class, bounded in number."""
 
--- a/src/poplardrum/platform/consul.py
+++ b/src/poplardrum/platform/consul.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import collections
 import json
 import typing
 
@@ -27,6 +28,7 @@
         self.base = f'http://{host}:{port}/v1'
         self.timeout = timeout
         self.session = aiohttp.ClientSession()
+        self.calls: collections.Counter[str] = collections.Counter()
 
     async def close(self) -> None:
         """Close the session."""
@@ -109,6 +111,7 @@
     ) -> tuple[int, typing.Mapping[str, str], bytes]:
         timeout = aiohttp.ClientTimeout(total=limit or self.timeout)
         wrote = method != 'GET'
+        self.calls[f'{method}_sent'] += 1
         try:
             async with self.session.request(
                 method,
--- a/src/poplardrum/settings.py
+++ b/src/poplardrum/settings.py
@@ -69,6 +69,7 @@
     """Bounds on requests and tables; sizes in bytes, times in seconds."""
 
     body: int = _option(ini.size, '8 MB')
+    body_time: float = _option(ini.duration, '10 s')
     tasks: int = _option(ini.integer, '710')
     payload: int = _option(ini.size, '64 KB')
     key: int = _option(ini.integer, '128')
