Check bounds and contradictions of the settings

Zero counts, sizes and times were accepted, an unknown log level ended in a stack trace, and a silence shorter than the heartbeat cut every link. Each is now refused with file, line, section and option.

--- a/src/poplardrum/settings.py
+++ b/src/poplardrum/settings.py
@@ -15,6 +15,32 @@
     )
 
 
+def _at_least(lowest: float, convert: Converter) -> Converter:
+    def check(text: str) -> typing.Any:
+        found = convert(text)
+        if found < lowest:
+            raise ValueError(f'expected at least {lowest:g}, got {text!r}')
+        return found
+
+    return check
+
+
+def _one_of(*choices: str) -> Converter:
+    def check(text: str) -> str:
+        if text not in choices:
+            expected = ', '.join(choices)
+            raise ValueError(f'expected one of {expected}, got {text!r}')
+        return text
+
+    return check
+
+
+# A time of zero would turn a wait into a busy loop or refuse everything.
+_time = _at_least(0.001, ini.duration)
+_count = _at_least(1, ini.integer)
+_bytes = _at_least(1, ini.size)
+
+
 @dataclasses.dataclass(frozen=True)
 class Process:
     """Identity and place of the process."""
@@ -37,7 +63,7 @@
     """Address of the key-value service and its time limit in seconds."""
 
     address: ini.Address = _option(ini.address)
-    timeout: float = _option(ini.duration, '2 s')
+    timeout: float = _option(_time, '2 s')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,8 +71,8 @@
     """Links to other processes; times in seconds."""
 
     bootstrap: tuple[ini.Address, ...] = _option(ini.addresses, '')
-    heartbeat: float = _option(ini.duration, '2 s')
-    silence: float = _option(ini.duration, '5 s')
+    heartbeat: float = _option(_time, '2 s')
+    silence: float = _option(_time, '5 s')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,27 +86,30 @@
 class Logs:
     """Level and form of the log."""
 
-    level: str = _option(ini.name, 'INFO')
-    form: str = _option(ini.name, 'text')
+    level: str = _option(
+        _one_of('DEBUG', 'INFO', 'WARNING', 'ERROR'),
+        'INFO',
+    )
+    form: str = _option(_one_of('text', 'json'), 'text')
 
 
 @dataclasses.dataclass(frozen=True)
 class Limits:
     """Bounds on requests and tables; sizes in bytes, times in seconds."""
 
-    body: int = _option(ini.size, '8 MB')
-    body_time: float = _option(ini.duration, '10 s')
-    tasks: int = _option(ini.integer, '710')
-    payload: int = _option(ini.size, '64 KB')
-    key: int = _option(ini.integer, '128')
-    nesting: int = _option(ini.integer, '16')
-    header: int = _option(ini.size, '8 KB')
-    records: int = _option(ini.integer, '20000')
-    answers: int = _option(ini.size, '16 MB')
-    queue: int = _option(ini.integer, '20000')
-    connections: int = _option(ini.integer, '60')
-    window: float = _option(ini.duration, '5 min')
-    deadline: float = _option(ini.duration, '60 s')
+    body: int = _option(_bytes, '8 MB')
+    body_time: float = _option(_time, '10 s')
+    tasks: int = _option(_count, '710')
+    payload: int = _option(_bytes, '64 KB')
+    key: int = _option(_count, '128')
+    nesting: int = _option(_at_least(3, ini.integer), '16')
+    header: int = _option(_at_least(512, ini.size), '8 KB')
+    records: int = _option(_count, '20000')
+    answers: int = _option(_bytes, '16 MB')
+    queue: int = _option(_count, '20000')
+    connections: int = _option(_count, '60')
+    window: float = _option(_time, '5 min')
+    deadline: float = _option(_time, '60 s')
     drain: float = _option(ini.duration, '30 s')
     balancer: float = _option(ini.duration, '1 s')
 
@@ -117,12 +146,31 @@
     for name, section in sections.items():
         if name not in kinds:
             raise _error(section.where, 'unknown section')
-    return Settings(
+    found = Settings(
         **{
             name: _read(kind, name, sections.get(name), source)
             for name, kind in kinds.items()
         }
     )
+    _check_together(found, sections, source)
+    return found
+
+
+def _check_together(
+    found: Settings,
+    sections: dict[str, ini.Section],
+    source: str,
+) -> None:
+    peers = found.peers
+    if peers.silence > peers.heartbeat:
+        return
+    options = sections['peers'].options
+    option = options.get('silence') or options['heartbeat']
+    raise _error(
+        option.where,
+        f'silence ({peers.silence:g} s) must be longer than heartbeat '
+        f'({peers.heartbeat:g} s)',
+    )
 
 
 def _read(
