--- a/src/poplardrum/scheduling/placement.py
+++ b/src/poplardrum/scheduling/placement.py
@@ -1,36 +1,227 @@
-"""Choice of workers for the tasks of a job."""
+"""Choice of workers for the tasks of a job.
+
+Policies are types; `place` chooses by the type of the policy.
+"""
 
 import dataclasses
+import functools
+import math
 import random
+import typing
 
 from poplardrum import ids
 
+# Tasks that wait ahead of a new one run for this long each when the worker
+# reports a number of tasks but no backlog in seconds.
+_TYPICAL_SECONDS: typing.Final = 0.3
+
 
 @dataclasses.dataclass
 class Candidate:
-    """What a coordinator knows of one worker when it places tasks."""
+    """What a coordinator knows of one worker when it places tasks.
+
+    `backlog` holds the expected seconds of the queued tasks at speed 1, zero
+    if only their number is known. `speed` is relative to the usual worker.
+    """
 
     worker: ids.MemberId
     slots: int
     free: int
     queued: int
     speed: float = 1.0
+    backlog: float = 0.0
+    linked: bool = True
+    ejected: bool = False
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether new work may go to this worker."""
+        return self.linked and not self.ejected and self.slots > 0
+
+    def wait(self) -> float:
+        """Return the expected seconds until a new task would start."""
+        if self.free > 0:
+            return 0
+        ahead = self.backlog or self.queued * _TYPICAL_SECONDS
+        return (ahead + _TYPICAL_SECONDS) / (self.slots * self.speed)
+
+    def add(self, expected: float) -> None:
+        """Count a task of `expected` seconds at speed 1 as placed here."""
+        if self.free > 0:
+            self.free -= 1
+            return
+        self.backlog = self.backlog or self.queued * _TYPICAL_SECONDS
+        self.queued += 1
+        self.backlog += expected
+
+
+@dataclasses.dataclass(frozen=True)
+class Task:
+    """One waiting task; `expected` is in seconds at speed 1."""
+
+    index: int
+    expected: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Grant:
+    """Start the task at this worker."""
+
+    index: int
+    worker: ids.MemberId
+
+
+@dataclasses.dataclass(frozen=True)
+class Reservation:
+    """Let this worker claim up to `count` tasks; `expected` seconds each."""
+
+    worker: ids.MemberId
+    count: int
+    expected: float
+
+
+@dataclasses.dataclass
+class Plan:
+    """Messages to send; tasks in no grant stay with the coordinator."""
+
+    grants: list[Grant] = dataclasses.field(default_factory=list)
+    reservations: list[Reservation] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True)
+class RandomTwo:
+    """Grant each task to the less loaded of two random workers."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ExpectedFinish:
+    """Grant each task to the worker with the earliest expected finish."""
+
+
+@dataclasses.dataclass(frozen=True)
+class LateBinding:
+    """Grant to free slots; reserve elsewhere and bind at the claim."""
+
+
+Policy = RandomTwo | ExpectedFinish | LateBinding
+POLICIES: typing.Final[typing.Mapping[str, Policy]] = {
+    'random_two': RandomTwo(),
+    'expected_finish': ExpectedFinish(),
+    'late_binding': LateBinding(),
+}
+
+
+@functools.singledispatch
+def place(
+    policy: Policy,
+    tasks: list[Task],
+    candidates: list[Candidate],
+    choice: random.Random,
+) -> Plan:
+    """Return grants and reservations for waiting tasks of one job.
+
+    The candidates are updated as if the plan had been carried out. Without
+    a usable candidate the plan is empty.
+    """
+    raise NotImplementedError(policy)
+
+
+@place.register
+def _random_two(
+    policy: RandomTwo,
+    tasks: list[Task],
+    candidates: list[Candidate],
+    choice: random.Random,
+) -> Plan:
+    plan = Plan()
+    for task in tasks:
+        best = random_two(candidates, choice, task.expected)
+        if best is not None:
+            plan.grants.append(Grant(task.index, best.worker))
+    return plan
+
+
+@place.register
+def _expected_finish(
+    policy: ExpectedFinish,
+    tasks: list[Task],
+    candidates: list[Candidate],
+    choice: random.Random,
+) -> Plan:
+    usable = _shuffled(candidates, choice)
+    plan = Plan()
+    if not usable:
+        return plan
+    for task in _longest_first(tasks):
+        best = earliest(usable, task.expected)
+        best.add(task.expected)
+        plan.grants.append(Grant(task.index, best.worker))
+    return plan
+
+
+@place.register
+def _late_binding(
+    policy: LateBinding,
+    tasks: list[Task],
+    candidates: list[Candidate],
+    choice: random.Random,
+) -> Plan:
+    usable = _shuffled(candidates, choice)
+    plan = Plan()
+    if not usable:
+        return plan
+    reserved: dict[ids.MemberId, list[float]] = {}
+    for task in _longest_first(tasks):
+        best = earliest(usable, task.expected)
+        if best.free > 0:
+            plan.grants.append(Grant(task.index, best.worker))
+        else:
+            reserved.setdefault(best.worker, []).append(task.expected)
+        best.add(task.expected)
+    plan.reservations = [
+        Reservation(worker, len(times), math.fsum(times) / len(times))
+        for worker, times in reserved.items()
+    ]
+    return plan
+
+
+def earliest(usable: list[Candidate], expected: float) -> Candidate:
+    """Return the candidate where a task is expected to finish first."""
+    return min(
+        usable,
+        key=lambda candidate: candidate.wait() + expected / candidate.speed,
+    )
 
 
 def random_two(
     candidates: list[Candidate],
     choice: random.Random,
+    expected: float = _TYPICAL_SECONDS,
 ) -> Candidate | None:
     """Return the less loaded of two random candidates, `None` of none."""
-    usable = [candidate for candidate in candidates if candidate.slots]
+    usable = [candidate for candidate in candidates if candidate.usable]
     if not usable:
         return None
     pair = choice.sample(usable, min(2, len(usable)))
     best = min(pair, key=_pressure)
-    best.queued += 1
-    best.free = max(0, best.free - 1)
+    best.add(expected)
     return best
 
 
 def _pressure(candidate: Candidate) -> float:
     return (candidate.queued + 1 - candidate.free) / candidate.slots
+
+
+def _longest_first(tasks: list[Task]) -> list[Task]:
+    return sorted(tasks, key=lambda task: task.expected, reverse=True)
+
+
+def _shuffled(
+    candidates: list[Candidate],
+    choice: random.Random,
+) -> list[Candidate]:
+    # Coordinators with the same view would otherwise all choose the same
+    # worker among equal ones.
+    usable = [candidate for candidate in candidates if candidate.usable]
+    choice.shuffle(usable)
+    return usable
--- /dev/null
+++ b/src/poplardrum/scheduling/tables.py
@@ -0,0 +1,42 @@
+"""Bounded table that drops what was used least recently."""
+
+import collections
+import typing
+
+Key = typing.TypeVar('Key', bound=typing.Hashable)
+Value = typing.TypeVar('Value')
+
+
+class RecentTable(typing.Generic[Key, Value]):
+    """Hold up to `limit` values by key."""
+
+    def __init__(
+        self,
+        limit: int,
+        factory: typing.Callable[[], Value],
+    ) -> None:
+        """Start empty; `factory` makes the value of a new key."""
+        self.limit = limit
+        self.factory = factory
+        self.rows: collections.OrderedDict[Key, Value] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return the number of keys held."""
+        return len(self.rows)
+
+    def find(self, key: Key) -> Value | None:
+        """Return the value of a key without counting it as used."""
+        return self.rows.get(key)
+
+    def use(self, key: Key) -> Value:
+        """Return the value of a key, a new one if it is not held."""
+        row = self.rows.get(key)
+        if row is None:
+            row = self.factory()
+            self.rows[key] = row
+            if len(self.rows) > self.limit:
+                self.rows.popitem(last=False)
+        self.rows.move_to_end(key)
+        return row
