--- /dev/null
+++ b/bench/policy_placement.py
@@ -0,0 +1,128 @@
+"""Compare placement policies and job orders on the model of a fleet.
+
+Run `python -m bench.policy_placement`; prints `name value unit` and, where
+the design page states a target, `bound ok|short`.
+"""
+
+import dataclasses
+import random
+import typing
+
+from bench import policy_model as model
+from bench import policy_workload as workload
+from poplardrum.scheduling import ordering, placement
+
+SPAN: typing.Final = 60.0
+DRAIN: typing.Final = 60.0
+P50_BOUND: typing.Final = 1.1
+P99_BOUND: typing.Final = 1.5
+WASTE_BOUND: typing.Final = 0.05
+LOADS: typing.Final = (0.3, 0.6, 0.8)
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """Measured figures of one run."""
+
+    jobs: list[workload.Job]
+    fleet: model.Model
+
+    def report(self, name: str, bounds: bool = False) -> None:
+        """Print the figures of the run."""
+        answered = [job for job in self.jobs if job.measured]
+        good = [job.stretch for job in answered if not job.failed]
+        tasks = sum(len(job.tasks) for job in self.jobs)
+        counts = self.fleet.counts
+        wasted = counts.pop('wasted', 0)
+        p50_bound = P50_BOUND if bounds else None
+        p99_bound = P99_BOUND if bounds else None
+        show(f'{name}.p50', workload.quantile(good, 0.5), 'ratio', p50_bound)
+        show(f'{name}.p90', workload.quantile(good, 0.9), 'ratio')
+        show(f'{name}.p99', workload.quantile(good, 0.99), 'ratio', p99_bound)
+        show(f'{name}.messages', counts.total() / tasks, 'per_task')
+        waste_bound = WASTE_BOUND if bounds else None
+        show(f'{name}.wasted', wasted / tasks, 'per_task', waste_bound)
+
+
+def show(
+    name: str,
+    value: float,
+    unit: str,
+    bound: float | None = None,
+) -> None:
+    """Print one figure, with its upper bound if there is one."""
+    line = f'{name} {value:.3f} {unit}'
+    if bound is not None:
+        line += f' {bound} ' + ('ok' if value <= bound else 'short')
+    print(line, flush=True)
+
+
+def measure(plan: model.Plan, load: float) -> Outcome:
+    """Run two tenants at the given part of the capacity."""
+    choice = random.Random(plan.seed)
+    jobs = [
+        job
+        for tenant in ('lakeshore', 'consorcio')
+        for job in workload.stream(
+            workload.Kinds(choice),
+            tenant,
+            load * plan.capacity / 2,
+            (0, SPAN),
+        )
+    ]
+    fleet = model.Model(plan)
+    for job in jobs:
+        fleet.after(job.arrival, fleet.submit, job)
+    fleet.run(SPAN + DRAIN)
+    return Outcome(jobs, fleet)
+
+
+def compare_policies() -> None:
+    """Measure each policy at each load."""
+    for name, policy in placement.POLICIES.items():
+        for load in LOADS:
+            outcome = measure(model.Plan(policy), load)
+            bounds = load == LOADS[-1] and name == 'late_binding'
+            outcome.report(f'{name}.load{load:.0%}', bounds)
+
+
+def compare_orders() -> None:
+    """Measure each order of jobs at the highest load."""
+    orders: dict[str, ordering.Ordering] = {
+        'first_come': ordering.FirstCome(),
+        'shortest': ordering.ShortestRemaining(),
+        'stretched_1': ordering.StretchedFinish(1),
+        'stretched_4': ordering.StretchedFinish(4),
+    }
+    for name, order in orders.items():
+        measure(model.Plan(order=order), LOADS[-1]).report(f'order.{name}')
+
+
+def measure_faults() -> None:
+    """Measure a straggler, a failing worker and a kind that never runs."""
+    plans = {
+        'straggler': model.Plan(straggler=8, slow_from=SPAN / 3),
+        'failing_worker': model.Plan(broken=8),
+        'failing_kind': model.Plan(bad_kind='kind-3'),
+    }
+    for name, plan in plans.items():
+        outcome = measure(plan, LOADS[1])
+        outcome.report(name)
+        tasks = sum(len(job.tasks) for job in outcome.jobs)
+        failed = sum(job.failed for job in outcome.jobs)
+        ejecting = [
+            len(home.ejector.ejected) for home in outcome.fleet.coordinators
+        ]
+        show(f'{name}.failed', failed / tasks, 'per_task')
+        show(f'{name}.ejected', sum(ejecting) / len(ejecting), 'workers')
+
+
+def main() -> None:
+    """Run all comparisons."""
+    compare_policies()
+    compare_orders()
+    measure_faults()
+
+
+if __name__ == '__main__':
+    main()
--- a/src/poplardrum/scheduling/placement.py
+++ b/src/poplardrum/scheduling/placement.py
@@ -185,6 +185,24 @@
     return plan
 
 
+def fill(tasks: list[Task], candidates: list[Candidate]) -> list[Grant]:
+    """Return grants of reserved tasks to slots that are free now.
+
+    A task for which a busy worker is expected to finish sooner than any free
+    one stays waiting. The candidates are updated as if the grants were sent.
+    """
+    usable = [candidate for candidate in candidates if candidate.usable]
+    grants = []
+    for task in _longest_first(tasks):
+        if not any(candidate.free > 0 for candidate in usable):
+            break
+        best = earliest(usable, task.expected)
+        if best.free > 0:
+            best.add(task.expected)
+            grants.append(Grant(task.index, best.worker))
+    return grants
+
+
 def earliest(usable: list[Candidate], expected: float) -> Candidate:
     """Return the candidate where a task is expected to finish first."""
     return min(
