Keep grants across broken links and claim tasks when slots free

Cause: a broken link ended every granted task as may_have_run, a worker queued what it could not run at once, and a lapsed lease or a doubled grant was not checked. Change: grants are numbered; the coordinator asks after them when a link is back; workers remember refused and finished tasks; tasks that find no free slot stay at the coordinator and are claimed.

--- a/src/poplardrum/daemons/agent.py
+++ b/src/poplardrum/daemons/agent.py
@@ -57,11 +57,31 @@
         for changed in self.view.merge([member]):
             self._follow(changed)
 
+    def link_up(self, link: links.Link) -> None:
+        """Settle with a worker or coordinator that is linked again."""
+        super().link_up(link)
+        if link.member.role is not messages.Role.agent:
+            return
+        if link.dialed:
+            self.coordinator.worker_back(link.member)
+        else:
+            owner = worker.owner_of(link)
+            self.worker.slots.coordinator_back(owner, time.monotonic())
+
     def link_down(self, link: links.Link) -> None:
-        """End the tasks of a worker whose link has broken."""
+        """Note that a worker or a coordinator cannot be reached."""
+        table = self.links if link.dialed else self.inbound
+        is_current = table.get(link.member.id) is link
         super().link_down(link)
+        if not is_current:
+            return
         if link.dialed:
             self.coordinator.worker_lost(link.member.id)
+        else:
+            self.worker.slots.coordinator_lost(
+                link.member.id,
+                time.monotonic(),
+            )
 
     def ready_agents(self) -> list[messages.Member]:
         """Return the agents of this region that take new work."""
@@ -91,7 +111,7 @@
         changed = self.worker.endpoint.accept(announcement, time.monotonic())
         if changed:
             self.tell_state()
-        self.worker.pump()
+        self.worker.refresh()
         return web.json_response({'agent': self.member.id})
 
     def tell_state(self) -> None:
@@ -118,15 +138,14 @@
     async def drain(self) -> None:
         """Take no new work, finish what runs, within the set time."""
         self.tell_state()
+        self.worker.slots.drain(self.member.id, time.monotonic())
         limit = time.monotonic() + self.settings.limits.drain
         while time.monotonic() < limit and self.busy():
             await asyncio.sleep(_TICK_SECONDS / 5)
 
     def busy(self) -> bool:
         """Tell whether jobs or tasks are unfinished here."""
-        return bool(
-            self.coordinator.jobs or self.worker.running or self.worker.queue,
-        )
+        return bool(self.coordinator.jobs or self.worker.slots.held)
 
     def _follow(self, member: messages.Member) -> None:
         if member.role is not messages.Role.agent:
@@ -153,6 +172,8 @@
         await serve_http(process, stack)
         process.spawn(membership.register(process, platform), 'register')
         process.spawn(node.bootstrap(process), 'bootstrap')
+        process.spawn(process.coordinator.watch(), 'watch jobs')
+        process.spawn(process.worker.watch(), 'watch slots')
         logger.info('agent %s is ready', process.member.id)
         await process.stopping.wait()
         await process.drain()
--- a/src/poplardrum/daemons/coordinator.py
+++ b/src/poplardrum/daemons/coordinator.py
@@ -1,13 +1,13 @@
 """The coordinator side of an agent: the tasks of running jobs."""
 
 import asyncio
-import dataclasses
 import logging
 import time
 import typing
 
-from poplardrum import errors, ids
-from poplardrum.coordination import records
+from poplardrum import ids
+from poplardrum.daemons import grants, reservations
+from poplardrum.daemons import job as jobs
 from poplardrum.peers import dispatch, links, messages
 from poplardrum.scheduling import placement
 
@@ -17,27 +17,14 @@
 logger = logging.getLogger(__name__)
 
 _LEASE_MS: typing.Final = 10_000
-_RETRY_SECONDS: typing.Final = 0.05
-
-
-@dataclasses.dataclass
-class Job:
-    """One running job; `deadline` is in monotonic seconds."""
-
-    id: ids.JobId
-    submit: messages.SubmitJob
-    deadline: float
-    waiting: list[int] = dataclasses.field(default_factory=list)
-    granted: dict[int, ids.MemberId] = dataclasses.field(default_factory=dict)
-    outcomes: dict[int, messages.TaskOutcome] = dataclasses.field(
-        default_factory=dict,
-    )
-    cancelled: bool = False
-
-    @property
-    def key(self) -> records.RecordKey:
-        """Return the key of the job's record."""
-        return (self.submit.tenant, self.submit.key)
+_TICK_SECONDS: typing.Final = 0.05
+# Allowed response time of a job relative to its ideal; orders jobs.
+_STRETCH: typing.Final = 2.0
+# A grant that is younger than this is not yet part of the reported load.
+_UNSEEN_SECONDS: typing.Final = 0.01
+# A task that is queued for longer may be taken back for a free worker.
+_QUEUED_SECONDS: typing.Final = 0.1
+_HEARTBEAT_SECONDS: typing.Final = 2.0
 
 
 class Coordinator:
@@ -46,53 +33,101 @@
     def __init__(self, process: 'agent.Agent') -> None:
         """Start without jobs."""
         self.process = process
-        self.jobs: dict[ids.JobId, Job] = {}
+        self.grants = grants.Grants(
+            self,
+            process.member.id,
+            process.member.incarnation,
+        )
+        self.jobs = self.grants.jobs
+        self.reservations = reservations.Reservations()
+        self.changed = asyncio.Event()
 
     def start(
         self,
         job_id: ids.JobId,
         item: messages.SubmitJob,
         age: float,
-    ) -> Job:
+    ) -> jobs.Job:
         """Start a job whose record was just added.
 
         `age` is the time in seconds that its frame has waited.
         """
-        job = Job(
-            id=job_id,
-            submit=item,
-            deadline=time.monotonic() + item.deadline_ms / 1000 - age,
-            waiting=list(range(len(item.tasks))),
-        )
+        now = time.monotonic()
+        job = jobs.create(job_id, item, now, age, _STRETCH)
         self.jobs[job.id] = job
-        self.process.spawn(self.watch(job), f'job {job.id}')
-        self.place(job)
+        self.changed.set()
+        self.place(job, now)
         return job
 
-    async def watch(self, job: Job) -> None:
-        """End a job at its deadline; place tasks again that came back."""
-        while job.id in self.jobs:
-            left = job.deadline - time.monotonic()
-            if left <= 0:
-                self.expire(job)
-                return
-            await asyncio.sleep(min(left, _RETRY_SECONDS))
-            if job.waiting:
-                self.place(job)
-
-    def place(self, job: Job) -> None:
-        """Grant waiting tasks to workers."""
-        candidates = self.candidates(job)
-        for index in list(job.waiting):
-            chosen = placement.random_two(candidates, self.process.random)
-            link = self.process.worker_link(chosen.worker) if chosen else None
-            if chosen is None or link is None:
-                return
-            job.waiting.remove(index)
-            job.granted[index] = chosen.worker
-            link.send(self.grant(job, index))
-
-    def candidates(self, job: Job) -> list[placement.Candidate]:
+    async def watch(self) -> None:
+        """End jobs at their deadlines; place tasks that came back."""
+        while True:
+            await self.changed.wait()
+            self.changed.clear()
+            while self.jobs:
+                now = time.monotonic()
+                self.grants.tick(now)
+                self.place_all(now)
+                await asyncio.sleep(self.pause(now))
+
+    def pause(self, now: float) -> float:
+        """Return the seconds until the next deadline or round."""
+        ends = [job.deadline - now for job in self.jobs.values()]
+        ends += [grants.closing_at(job) - now for job in self.jobs.values()]
+        ahead = [end for end in ends if end > 0]
+        return min([_TICK_SECONDS, *ahead])
+
+    def place_all(self, now: float) -> None:
+        """Place the waiting tasks of all jobs, the most urgent first."""
+        waiting = [job for job in self.jobs.values() if job.waiting]
+        for job in sorted(waiting, key=_rank):
+            self.place(job, now)
+
+    def place(self, job: jobs.Job, now: float) -> None:
+        """Grant waiting tasks to free workers, reserve for the rest."""
+        candidates = self.candidates(job, now)
+        while job.waiting:
+            chosen = self.choose(candidates)
+            if chosen is None or not self.grant(job, chosen.worker, now):
+                break
+        if not job.waiting:
+            self.reservations.drop(job)
+            return
+        for worker, item in self.reservations.extend(job, candidates, now):
+            self.send(worker, item)
+
+    def choose(
+        self,
+        candidates: list[placement.Candidate],
+    ) -> placement.Candidate | None:
+        """Choose a worker with a free slot."""
+        free = [candidate for candidate in candidates if candidate.free > 0]
+        return placement.random_two(free, self.process.random)
+
+    def grant(
+        self,
+        job: jobs.Job,
+        worker: ids.MemberId,
+        now: float,
+        claim: int = 0,
+    ) -> bool:
+        """Grant the next waiting task; return `False` when not sent."""
+        link = self.process.worker_link(worker)
+        if link is None:
+            return False
+        target = grants.Target(
+            worker,
+            link.member.incarnation,
+            _LEASE_MS,
+            claim,
+        )
+        return self.grants.grant(job, target, now)
+
+    def candidates(
+        self,
+        job: jobs.Job,
+        now: float,
+    ) -> list[placement.Candidate]:
         """Return the workers that new tasks may go to."""
         hints = {hint.worker: hint.load for hint in job.submit.hints}
         found = []
@@ -104,137 +139,96 @@
                     placement.Candidate(
                         member.id,
                         load.slots,
-                        load.free,
+                        self.believed_free(link, load, now),
                         load.queued,
                         load.speed,
                     ),
                 )
         return found
 
-    def grant(self, job: Job, index: int) -> messages.Start:
-        """Build the grant of one task."""
-        item = job.submit
-        return messages.Start(
-            task=ids.TaskId(job.id, index),
-            coordinator=self.process.member.id,
-            incarnation=self.process.member.incarnation,
-            tenant=item.tenant,
-            urgency=item.urgency,
-            order=job.deadline,
-            lease_ms=_LEASE_MS,
-            deadline_ms=(job.deadline - time.monotonic()) * 1000,
-            spec=item.tasks[index],
-        )
-
-    def done(
+    def believed_free(
         self,
-        task: ids.TaskId,
-        outcome: messages.TaskOutcome,
-    ) -> None:
-        """Take the end of a task; a second report changes nothing."""
-        job = self.jobs.get(task.job)
-        if job is None or job.granted.pop(task.position, None) is None:
-            return
-        job.outcomes[task.position] = outcome
-        self.finish_if_complete(job)
-
-    def not_started(self, task: ids.TaskId, reason: errors.Code) -> None:
-        """Take back a task that has not started and never will there."""
-        job = self.jobs.get(task.job)
-        if job is None or job.granted.pop(task.position, None) is None:
-            return
-        if job.cancelled:
-            job.outcomes[task.position] = _outcome(
-                errors.Verdict.not_run,
-                errors.Code.cancelled,
-            )
-            self.finish_if_complete(job)
+        link: links.Link,
+        load: messages.Load,
+        now: float,
+    ) -> int:
+        """Estimate the free slots of a worker from its last frame.
+
+        Grants that the frame cannot know of are subtracted, and a part of
+        the slots for its age, since other coordinators use them meanwhile.
+        """
+        age = 0.0
+        if link is not self.process.local:
+            age = min(1, (now - link.last_seen) / _HEARTBEAT_SECONDS)
+        seen_at = now if age == 0 else link.last_seen
+        unseen = self.grants.recent(
+            link.member.id,
+            seen_at - _UNSEEN_SECONDS,
+        )
+        return load.free - unseen - int(age * load.slots / 2)
+
+    def claim(self, item: messages.Claim, link: links.Link) -> None:
+        """Answer a claim by a task, or say that none waits."""
+        worker = link.member.id
+        job = reservations.best_waiting(self.jobs, item.tenant)
+        if job and self.grant(job, worker, time.monotonic(), item.claim):
+            if not job.waiting:
+                self.reservations.drop(job)
             return
-        job.waiting.append(task.position)
+        self.process.metrics.wasted.labels('no_task').inc(2)
+        self.send(worker, messages.NoTask(item.job, item.claim))
+
+    def send(self, worker: ids.MemberId, item: messages.AnyItem) -> bool:
+        """Send to a worker, together with releases that are due."""
+        link = self.process.worker_link(worker)
+        if link is None:
+            return False
+        release = self.reservations.unused(worker)
+        if release is not None:
+            link.send(release)
+        return link.send(item)
+
+    def finished(self, job: jobs.Job) -> None:
+        """Keep the answer of a job in its record."""
+        self.reservations.drop(job)
+        self.process.submissions.finished(job.key, jobs.build_answer(job))
 
     def cancel(self, job_id: ids.JobId) -> None:
-        """Stop a job: waiting tasks at once, granted ones at their worker.
-
-        A job that has ended stays as it is.
-        """
-        job = self.jobs.get(job_id)
-        if job is None:
-            return
-        job.cancelled = True
-        for index in job.waiting:
-            job.outcomes[index] = _outcome(
-                errors.Verdict.not_run,
-                errors.Code.cancelled,
-            )
-        job.waiting.clear()
-        by_worker: dict[ids.MemberId, list[ids.TaskId]] = {}
-        for index, worker in job.granted.items():
-            by_worker.setdefault(worker, []).append(ids.TaskId(job.id, index))
-        for worker, tasks in by_worker.items():
-            link = self.process.worker_link(worker)
-            if link:
-                link.send(messages.StopTasks(tasks))
-        self.finish_if_complete(job)
-
-    def expire(self, job: Job) -> None:
-        """End a job at its deadline with what is known of its tasks."""
-        granted = list(job.granted)
-        self.cancel(job.id)
-        if job.id not in self.jobs:
-            return
-        for index in granted:
-            job.outcomes[index] = _outcome(
-                errors.Verdict.may_have_run,
-                errors.Code.deadline,
-            )
-        job.granted.clear()
-        self.finish_if_complete(job)
+        """Stop a job; one that has ended stays as it is."""
+        self.grants.cancel(job_id)
 
     def worker_lost(self, worker: ids.MemberId) -> None:
-        """End the tasks granted to a worker whose link has broken."""
-        for job in list(self.jobs.values()):
-            lost = [
-                index
-                for index, holder in job.granted.items()
-                if holder == worker
-            ]
-            for index in lost:
-                self.done(
-                    ids.TaskId(job.id, index),
-                    _outcome(
-                        errors.Verdict.may_have_run,
-                        errors.Code.link_lost,
-                    ),
-                )
-
-    def finish_if_complete(self, job: Job) -> None:
-        """Answer and keep the record once every task has an outcome."""
-        if len(job.outcomes) < len(job.submit.tasks):
-            return
-        self.jobs.pop(job.id)
-        self.process.submissions.finished(job.key, build_answer(job))
-
+        """Note that the link to a worker has broken."""
+        self.grants.worker_lost(worker, time.monotonic())
+        self.reservations.worker_lost(worker, self.jobs.values())
+
+    def worker_back(self, member: messages.Member) -> None:
+        """Ask a worker whose link is up again after its tasks."""
+        self.grants.worker_back(
+            member.id,
+            member.incarnation,
+            time.monotonic(),
+        )
 
-def build_answer(job: Job) -> messages.Answer:
-    """Return the complete answer of a job, or its plain failure."""
-    tasks = [job.outcomes[index] for index in range(len(job.outcomes))]
-    verdicts = {task.verdict for task in tasks}
-    bad = [task for task in tasks if task.code is not errors.Code.ok]
-    verdict = errors.Verdict.ran
-    if verdicts == {errors.Verdict.not_run}:
-        verdict = errors.Verdict.not_run
-    elif errors.Verdict.may_have_run in verdicts:
-        verdict = errors.Verdict.may_have_run
-    code = bad[0].code if bad else errors.Code.ok
-    message = f'{len(bad)} of {len(tasks)} tasks failed' if bad else ''
-    return messages.Answer(job.id, code, verdict, message, tasks=tasks)
+    def not_started(
+        self,
+        worker: ids.MemberId,
+        item: messages.NotStarted,
+    ) -> None:
+        """Take refused tasks back and place those refused only once."""
+        self.grants.not_started(worker, item)
+        now = time.monotonic()
+        given_back = {task.job for task in item.tasks}
+        for job_id in given_back:
+            job = self.jobs.get(job_id)
+            # A task that is refused again waits for the next round, so that
+            # a worker that refuses all it gets is not asked without pause.
+            if job and job.waiting and job.refusals[job.waiting[0]] == 1:
+                self.place(job, now)
 
 
-def _outcome(
-    verdict: errors.Verdict,
-    code: errors.Code,
-) -> messages.TaskOutcome:
-    return messages.TaskOutcome(verdict, code)
+def _rank(job: jobs.Job) -> tuple[int, float]:
+    return job.rank
 
 
 @dispatch.receive.register(messages.Done)
@@ -243,7 +237,7 @@
     process: 'agent.Agent',
     link: links.Link,
 ) -> None:
-    process.coordinator.done(item.task, item.outcome)
+    process.coordinator.grants.done(link.member.id, item.task, item.outcome)
 
 
 @dispatch.receive.register(messages.NotStarted)
@@ -252,5 +246,22 @@
     process: 'agent.Agent',
     link: links.Link,
 ) -> None:
-    for task in item.tasks:
-        process.coordinator.not_started(task, item.reason)
+    process.coordinator.not_started(link.member.id, item)
+
+
+@dispatch.receive.register(messages.TaskRunning)
+def _task_running(
+    item: messages.TaskRunning,
+    process: 'agent.Agent',
+    link: links.Link,
+) -> None:
+    process.coordinator.grants.running(link.member.id, item.tasks)
+
+
+@dispatch.receive.register(messages.Claim)
+def _claim(
+    item: messages.Claim,
+    process: 'agent.Agent',
+    link: links.Link,
+) -> None:
+    process.coordinator.claim(item, link)
--- /dev/null
+++ b/src/poplardrum/daemons/grants.py
@@ -0,0 +1,313 @@
+"""Grants of a coordinator: which task is where, decided without I/O.
+
+A task leaves `waiting` with a numbered grant. It comes back only when the
+holder of that grant promises that it has not started and never will.
+"""
+
+import itertools
+import typing
+
+from poplardrum import errors, ids
+from poplardrum.daemons import job as jobs
+from poplardrum.peers import messages
+
+# Equal to the lease: a worker that was lost for longer starts nothing more.
+LOST_SECONDS: typing.Final = 10.0
+# Time before a deadline at which queued tasks are asked back, so that the
+# answer can say of them that they have not run.
+_CLOSING_SECONDS: typing.Final = 0.1
+_CLOSING_PART: typing.Final = 0.1
+
+ByWorker = dict[ids.MemberId, list[jobs.Grant]]
+
+
+class Port(typing.Protocol):
+    """What the grants need from the process around them."""
+
+    def send(self, worker: ids.MemberId, item: messages.AnyItem) -> bool:
+        """Send to a worker; return `False` when its link is down."""
+
+    def finished(self, job: jobs.Job) -> None:
+        """Take a job of which every task has an outcome."""
+
+
+class Target(typing.NamedTuple):
+    """The worker that a task goes to, its lease and the claim, if any."""
+
+    worker: ids.MemberId
+    incarnation: ids.Incarnation
+    lease_ms: float
+    claim: int = 0
+
+
+class Grants:
+    """Hold the running jobs of one coordinator."""
+
+    def __init__(
+        self,
+        port: Port,
+        member: ids.MemberId,
+        incarnation: ids.Incarnation,
+    ) -> None:
+        """Start without jobs."""
+        self.port = port
+        self.member = member
+        self.incarnation = incarnation
+        self.numbers = itertools.count(1)
+        self.jobs: dict[ids.JobId, jobs.Job] = {}
+        self.held: dict[ids.MemberId, dict[ids.TaskId, jobs.Grant]] = {}
+
+    def grant(self, job: jobs.Job, target: Target, now: float) -> bool:
+        """Grant the next waiting task; return `False` when not sent."""
+        position = job.waiting[0]
+        grant = jobs.Grant(
+            task=ids.TaskId(job.id, position),
+            number=next(self.numbers),
+            worker=target.worker,
+            incarnation=target.incarnation,
+            granted_at=now,
+        )
+        item = self.start_item(job, grant, target, now)
+        if not self.port.send(target.worker, item):
+            return False
+        job.waiting.popleft()
+        job.granted[position] = grant
+        self.held.setdefault(target.worker, {})[grant.task] = grant
+        return True
+
+    def start_item(
+        self,
+        job: jobs.Job,
+        grant: jobs.Grant,
+        target: Target,
+        now: float,
+    ) -> messages.Start:
+        """Build the message of one grant."""
+        item = job.submit
+        return messages.Start(
+            task=grant.task,
+            coordinator=self.member,
+            incarnation=self.incarnation,
+            tenant=item.tenant,
+            urgency=item.urgency,
+            order=job.order - now,
+            lease_ms=target.lease_ms,
+            deadline_ms=(job.deadline - now) * 1000,
+            spec=item.tasks[grant.task.position],
+            grant=grant.number,
+            claim=target.claim,
+        )
+
+    def recent(self, worker: ids.MemberId, since: float) -> int:
+        """Count the grants to a worker after `since`."""
+        return sum(
+            grant.granted_at > since
+            for grant in self.held.get(worker, {}).values()
+        )
+
+    def done(
+        self,
+        worker: ids.MemberId,
+        task: ids.TaskId,
+        outcome: messages.TaskOutcome,
+    ) -> None:
+        """Take the end of a task; a second report changes nothing."""
+        grant = self.held.get(worker, {}).get(task)
+        if grant is not None:
+            self.settle(grant, outcome)
+
+    def not_started(
+        self,
+        worker: ids.MemberId,
+        item: messages.NotStarted,
+    ) -> None:
+        """Take tasks back that have not started and never will there."""
+        for task, number in zip(item.tasks, item.grants, strict=True):
+            grant = self.held.get(worker, {}).get(task)
+            if grant is not None and grant.number == number:
+                self.take_back(grant, item.reason)
+
+    def take_back(self, grant: jobs.Grant, reason: errors.Code) -> None:
+        """Let a refused task wait again, or end it with its job."""
+        job = self.jobs[grant.task.job]
+        if job.ending is not None:
+            self.settle(grant, jobs.not_run(job.ending))
+            return
+        self.forget(grant)
+        job.refusals[grant.task.position] += 1
+        job.waiting.appendleft(grant.task.position)
+
+    def running(
+        self,
+        worker: ids.MemberId,
+        tasks: typing.Iterable[ids.TaskId],
+    ) -> None:
+        """Attach again to tasks that the worker has queued or runs."""
+        for task in tasks:
+            grant = self.held.get(worker, {}).get(task)
+            if grant is not None:
+                grant.lost_at = None
+
+    def cancel(self, job_id: ids.JobId) -> None:
+        """Stop a job: waiting tasks at once, granted ones at their worker.
+
+        A job that has ended stays as it is.
+        """
+        job = self.jobs.get(job_id)
+        if job is None or job.ending is errors.Code.cancelled:
+            return
+        job.ending = errors.Code.cancelled
+        job.end_waiting(errors.Code.cancelled)
+        self.stop(list(job.granted.values()))
+        self.finish_if_complete(job)
+
+    def close(self, job: jobs.Job) -> None:
+        """Grant nothing more; ask for tasks that have not started."""
+        job.ending = errors.Code.deadline
+        for worker, found in _by_worker(job.granted.values()).items():
+            self.port.send(
+                worker,
+                messages.Withdraw(_tasks(found), _numbers(found)),
+            )
+        job.end_waiting(errors.Code.deadline)
+        self.finish_if_complete(job)
+
+    def expire(self, job: jobs.Job) -> None:
+        """End a job at its deadline with what is known of its tasks."""
+        granted = list(job.granted.values())
+        job.end_waiting(job.ending or errors.Code.deadline)
+        self.stop(granted)
+        for grant in granted:
+            self.settle(grant, jobs.uncertain(grant, errors.Code.deadline))
+        self.finish_if_complete(job)
+
+    def stop(self, granted: typing.Iterable[jobs.Grant]) -> None:
+        """Ask workers to stop tasks, queued or running."""
+        for worker, found in _by_worker(granted).items():
+            self.port.send(
+                worker,
+                messages.StopTasks(_tasks(found), _numbers(found)),
+            )
+
+    def withdraw(self, granted: typing.Iterable[jobs.Grant]) -> None:
+        """Ask for tasks that are still queued, once each."""
+        for worker, found in _by_worker(granted).items():
+            for grant in found:
+                grant.withdrawn = True
+            self.port.send(
+                worker,
+                messages.Withdraw(_tasks(found), _numbers(found)),
+            )
+
+    def worker_lost(self, worker: ids.MemberId, now: float) -> None:
+        """Keep the grants of a worker as unknown while its link is down."""
+        for grant in self.held.get(worker, {}).values():
+            if grant.lost_at is None:
+                grant.lost_at = now
+
+    def worker_back(
+        self,
+        worker: ids.MemberId,
+        incarnation: ids.Incarnation,
+        now: float,
+    ) -> None:
+        """Ask a worker after the tasks it held when its link broke.
+
+        A new incarnation knows nothing of them, so they may have run.
+        """
+        kept: list[jobs.Grant] = []
+        for grant in list(self.held.get(worker, {}).values()):
+            if grant.incarnation == incarnation:
+                kept.append(grant)
+            else:
+                self.settle(
+                    grant,
+                    jobs.uncertain(grant, errors.Code.link_lost),
+                )
+        if kept:
+            self.port.send(worker, _query(kept, incarnation, now))
+        # After the query, which refuses for good what never arrived.
+        self.stop(grant for grant in kept if self.is_cancelled(grant))
+
+    def is_cancelled(self, grant: jobs.Grant) -> bool:
+        """Tell whether the job of a grant was cancelled."""
+        return self.jobs[grant.task.job].ending is errors.Code.cancelled
+
+    def tick(self, now: float) -> None:
+        """End what has run out of time."""
+        for grant in self.lost(now - LOST_SECONDS):
+            self.settle(grant, jobs.uncertain(grant, errors.Code.link_lost))
+        for job in list(self.jobs.values()):
+            if job.deadline <= now:
+                self.expire(job)
+            elif job.ending is None and closing_at(job) <= now:
+                self.close(job)
+
+    def lost(self, since: float) -> list[jobs.Grant]:
+        """Return the grants that have been unknown since then or longer."""
+        return [
+            grant
+            for found in self.held.values()
+            for grant in found.values()
+            if grant.lost_at is not None and grant.lost_at < since
+        ]
+
+    def settle(
+        self,
+        grant: jobs.Grant,
+        outcome: messages.TaskOutcome,
+    ) -> None:
+        """Record the outcome of a granted task."""
+        job = self.jobs[grant.task.job]
+        self.forget(grant)
+        job.outcomes[grant.task.position] = outcome
+        self.finish_if_complete(job)
+
+    def forget(self, grant: jobs.Grant) -> None:
+        """Remove a grant from both tables."""
+        self.jobs[grant.task.job].granted.pop(grant.task.position)
+        found = self.held[grant.worker]
+        found.pop(grant.task)
+        if not found:
+            self.held.pop(grant.worker)
+
+    def finish_if_complete(self, job: jobs.Job) -> None:
+        """Hand over a job once every task has an outcome."""
+        if job.complete and job.id in self.jobs:
+            self.jobs.pop(job.id)
+            self.port.finished(job)
+
+
+def closing_at(job: jobs.Job) -> float:
+    """Return when queued tasks of a job are asked back."""
+    budget = job.deadline - job.started
+    return job.deadline - min(_CLOSING_SECONDS, _CLOSING_PART * budget)
+
+
+def _query(
+    asked: list[jobs.Grant],
+    incarnation: ids.Incarnation,
+    now: float,
+) -> messages.QueryTasks:
+    oldest = min(grant.granted_at for grant in asked)
+    return messages.QueryTasks(
+        _tasks(asked),
+        incarnation,
+        _numbers(asked),
+        (now - oldest) * 1000,
+    )
+
+
+def _by_worker(granted: typing.Iterable[jobs.Grant]) -> ByWorker:
+    found: ByWorker = {}
+    for grant in granted:
+        found.setdefault(grant.worker, []).append(grant)
+    return found
+
+
+def _tasks(granted: typing.Iterable[jobs.Grant]) -> list[ids.TaskId]:
+    return [grant.task for grant in granted]
+
+
+def _numbers(granted: typing.Iterable[jobs.Grant]) -> list[int]:
+    return [grant.number for grant in granted]
--- /dev/null
+++ b/src/poplardrum/daemons/reservations.py
@@ -0,0 +1,120 @@
+"""Reservations of a coordinator at workers without a free slot (pure).
+
+Reservations that are of no use any more are dropped at the worker by a
+`Release` that rides with the next other item to it.
+"""
+
+import typing
+
+from poplardrum import ids
+from poplardrum.daemons import job as jobs
+from poplardrum.peers import messages
+from poplardrum.scheduling import placement
+
+# Two workers a task let the one that frees a slot first take it.
+_PROBES: typing.Final = 2
+# A worker drops its reservations while its endpoint is away, and a count
+# runs out when tasks come back; the next message sets both right.
+_RENEW_SECONDS: typing.Final = 5.0
+
+
+class Reservations:
+    """Know which workers were asked to claim tasks of which job."""
+
+    def __init__(self) -> None:
+        """Start without reservations."""
+        self.stale: dict[ids.MemberId, set[ids.JobId]] = {}
+
+    def extend(
+        self,
+        job: jobs.Job,
+        candidates: typing.Iterable[placement.Candidate],
+        now: float,
+    ) -> list[tuple[ids.MemberId, messages.Reserve]]:
+        """Return the reservations to add for the waiting tasks of a job.
+
+        A reservation stands for all waiting tasks, so that a worker that is
+        faster than believed claims more of them.
+        """
+        usable = {
+            candidate.worker: candidate
+            for candidate in candidates
+            if candidate.slots
+        }
+        for worker, reserved_at in list(job.reserved.items()):
+            renew = now - reserved_at > _RENEW_SECONDS
+            if renew or worker not in usable:
+                job.reserved.pop(worker)
+        missing = max(_PROBES, len(job.waiting)) - len(job.reserved)
+        unasked = [
+            candidate
+            for worker, candidate in usable.items()
+            if worker not in job.reserved
+        ]
+        if missing <= 0 or not unasked:
+            return []
+        unasked.sort(key=_wait)
+        item = reserve_item(job, now)
+        chosen = [candidate.worker for candidate in unasked[:missing]]
+        for worker in chosen:
+            job.reserved[worker] = now
+            self.stale.get(worker, set()).discard(job.id)
+        return [(worker, item) for worker in chosen]
+
+    def drop(self, job: jobs.Job) -> None:
+        """Mark the reservations of a job without waiting tasks as unused."""
+        for worker in job.reserved:
+            self.stale.setdefault(worker, set()).add(job.id)
+        job.reserved.clear()
+
+    def unused(self, worker: ids.MemberId) -> messages.Release | None:
+        """Return the release to send along to a worker, once."""
+        found = self.stale.pop(worker, None)
+        return messages.Release(sorted(found)) if found else None
+
+    def worker_lost(
+        self,
+        worker: ids.MemberId,
+        running: typing.Iterable[jobs.Job],
+    ) -> None:
+        """Forget a worker that has dropped its reservations itself."""
+        self.stale.pop(worker, None)
+        for job in running:
+            job.reserved.pop(worker, None)
+
+
+def reserve_item(job: jobs.Job, now: float) -> messages.Reserve:
+    """Build the message for all waiting tasks of a job."""
+    tasks = job.submit.tasks
+    declared = [tasks[position].declared_ms for position in job.waiting]
+    return messages.Reserve(
+        job=job.id,
+        tenant=job.submit.tenant,
+        urgency=job.submit.urgency,
+        order=job.order - now,
+        count=len(job.waiting),
+        expected_ms=sum(declared) / len(declared),
+    )
+
+
+def best_waiting(
+    running: typing.Mapping[ids.JobId, jobs.Job],
+    tenant: ids.TenantName,
+) -> jobs.Job | None:
+    """Return the job whose task answers a claim.
+
+    The tenant of the claimed job goes first, since its turn has come in the
+    worker's queue; `None` means that no task waits here.
+    """
+    waiting = [found for found in running.values() if found.waiting]
+    mine = [found for found in waiting if found.submit.tenant == tenant]
+    return min(mine or waiting, key=_rank, default=None)
+
+
+def _rank(job: jobs.Job) -> tuple[int, float]:
+    return job.rank
+
+
+def _wait(candidate: placement.Candidate) -> float:
+    load = candidate.queued + 1 - candidate.free
+    return load / (candidate.slots * candidate.speed)
--- a/src/poplardrum/daemons/worker.py
+++ b/src/poplardrum/daemons/worker.py
@@ -1,12 +1,12 @@
-"""The worker side of an agent: its task queue and its endpoint's slots."""
+"""The worker side of an agent: its endpoint and the tasks in its slots."""
 
-import collections
-import dataclasses
+import asyncio
 import logging
 import time
 import typing
 
 from poplardrum import errors, ids
+from poplardrum.daemons import recalls, slots
 from poplardrum.endpoints import announcements, runner
 from poplardrum.peers import dispatch, links, messages
 
@@ -15,14 +15,12 @@
 
 logger = logging.getLogger(__name__)
 
+_TICK_SECONDS: typing.Final = 0.25
+# Time that a stopped task has to end by itself before it is given up.
+_STOP_SECONDS: typing.Final = 2.0
+_UNKNOWN_TIME: typing.Final = float('-inf')
 
-@dataclasses.dataclass
-class Grant:
-    """One granted task; times are monotonic seconds of this process."""
-
-    start: messages.Start
-    lease_ends: float
-    deadline: float
+Decide = typing.Callable[[slots.Slots, recalls.Recall, float], None]
 
 
 class Worker:
@@ -30,97 +28,156 @@
 
     def __init__(self, process: 'agent.Agent') -> None:
         """Start without an endpoint and without tasks."""
+        limits = process.settings.limits
         self.process = process
         self.endpoint = announcements.EndpointStatus()
         self.runner = runner.Runner(
             process.member.id,
-            connections=process.settings.limits.connections,
+            connections=limits.connections,
+        )
+        self.slots = slots.Slots(
+            self,
+            slots.Bounds(limits.queue, limits.records, limits.answers),
         )
-        self.queue: collections.deque[Grant] = collections.deque()
-        self.running: dict[ids.TaskId, Grant] = {}
-        self.finished: collections.OrderedDict[
-            ids.TaskId,
-            messages.TaskOutcome,
-        ] = collections.OrderedDict()
+        self.limits: dict[ids.TaskId, asyncio.Timeout] = {}
 
     def load(self) -> messages.Load:
         """Return the load to report."""
         usable = self.endpoint.usable(time.monotonic())
-        slots = self.endpoint.slots() if usable else 0
+        total = self.slots.slots if usable else 0
+        queued = len(self.slots.queue)
         return messages.Load(
-            slots=slots,
-            free=max(0, slots - len(self.running) - len(self.queue)),
-            queued=len(self.queue),
+            slots=total,
+            free=max(0, min(total, self.slots.free - queued)),
+            queued=queued,
         )
 
-    def accept(self, item: messages.Start, age: float) -> None:
-        """Queue a granted task whose frame waited `age` seconds."""
+    def refresh(self) -> None:
+        """Bring the slots in line with what the endpoint last said."""
         now = time.monotonic()
-        grant = Grant(
-            start=item,
-            lease_ends=now + item.lease_ms / 1000 - age,
-            deadline=now + item.deadline_ms / 1000 - age,
-        )
-        if not self.endpoint.usable(now):
-            self.decline(grant, errors.Code.unavailable)
-            return
-        if len(self.queue) >= self.process.settings.limits.queue:
-            self.decline(grant, errors.Code.overload)
-            return
-        self.queue.append(grant)
-        self.pump()
-
-    def pump(self) -> None:
-        """Start queued tasks while slots are free."""
-        while self.queue and len(self.running) < self.endpoint.slots():
-            grant = self.queue.popleft()
-            if grant.lease_ends <= time.monotonic():
-                self.decline(grant, errors.Code.deadline)
-                continue
-            self.running[grant.start.task] = grant
-            self.process.spawn(self.run(grant), f'run {grant.start.task}')
-
-    async def run(self, grant: Grant) -> None:
+        usable = self.endpoint.usable(now)
+        offered = self.endpoint.slots() if usable else 0
+        self.slots.offer(offered, now)
+
+    async def watch(self) -> None:
+        """Notice endpoints that fall silent, leases and claims that lapse."""
+        while True:
+            self.refresh()
+            self.slots.tick(time.monotonic())
+            await asyncio.sleep(_TICK_SECONDS)
+
+    def run(self, held: slots.Held) -> None:
+        """Run a task in the background."""
+        self.process.spawn(self.run_task(held), f'run {held.task}')
+
+    async def run_task(self, held: slots.Held) -> None:
         """Run one task and report its end."""
+        now = time.monotonic()
         announcement = self.endpoint.announcement
-        if announcement is None:
-            self.running.pop(grant.start.task)
-            self.decline(grant, errors.Code.unavailable)
+        reason = held.lapsed(now)
+        if announcement is None or reason is not None:
+            self.give_back(held, reason or errors.Code.unavailable)
             return
-        self.process.metrics.task_starts.labels(grant.start.tenant).inc()
+        self.process.metrics.task_starts.labels(held.start.tenant).inc()
+        limit = asyncio.timeout(held.deadline - now)
+        self.limits[held.task] = limit
         outcome = await self.runner.run(
             announcement.address,
-            grant.start.task,
-            grant.start.spec,
-            max(0.001, grant.deadline - time.monotonic()),
-        )
-        self.running.pop(grant.start.task)
-        self.report(grant, outcome)
-        self.pump()
-
-    def report(self, grant: Grant, outcome: messages.TaskOutcome) -> None:
-        """Send the end of a task, or keep it for a later query."""
-        task = grant.start.task
-        self.finished[task] = outcome
-        while len(self.finished) > self.process.settings.limits.records:
-            self.finished.popitem(last=False)
-        self.send(grant.start.coordinator, messages.Done(task, outcome))
-
-    def decline(self, grant: Grant, reason: errors.Code) -> None:
-        """Give a task back that has not started and never will here."""
-        self.send(
-            grant.start.coordinator,
-            messages.NotStarted([grant.start.task], reason),
+            held.task,
+            held.start.spec,
+            limit,
         )
+        self.limits.pop(held.task)
+        if outcome.verdict is errors.Verdict.not_run:
+            self.endpoint.suspend()
+            self.give_back(held, outcome.code)
+            return
+        if limit.expired():
+            outcome = await self.abandon(announcement.address, held, outcome)
+        self.slots.ended(held, outcome, time.monotonic())
 
-    def send(
+    async def abandon(
         self,
-        coordinator: ids.MemberId,
-        item: messages.AnyItem,
-    ) -> bool:
+        address: str,
+        held: slots.Held,
+        outcome: messages.TaskOutcome,
+    ) -> messages.TaskOutcome:
+        """Stop a task without an answer; its slot waits for the stop."""
+        if not await self.runner.stop(address, held.task):
+            self.slots.stuck.add(held.task)
+            self.process.spawn(
+                self.release_slot(address, held.task),
+                f'release {held.task}',
+            )
+        if held.phase is slots.Phase.stopping:
+            return runner.failed(outcome, errors.Code.cancelled)
+        return outcome
+
+    async def release_slot(self, address: str, task: ids.TaskId) -> None:
+        """Use a slot again once the endpoint confirms that it is free."""
+        while not await self.runner.stop(address, task):
+            await asyncio.sleep(_STOP_SECONDS)
+        self.slots.stuck.discard(task)
+        self.slots.pump(time.monotonic())
+
+    def give_back(self, held: slots.Held, reason: errors.Code) -> None:
+        """Return a task that did not reach the endpoint."""
+        self.slots.refuse(held, reason, time.monotonic())
+        self.refresh()
+
+    def stop(self, held: slots.Held) -> None:
+        """Ask the endpoint to stop a task that runs there."""
+        announcement = self.endpoint.announcement
+        limit = self.limits.get(held.task)
+        if announcement is None or limit is None:
+            return
+        ends = asyncio.get_running_loop().time() + _STOP_SECONDS
+        limit.reschedule(min(ends, limit.when() or ends))
+        self.process.spawn(
+            self.send_stop(announcement.address, held.task),
+            f'stop {held.task}',
+        )
+
+    async def send_stop(self, address: str, task: ids.TaskId) -> None:
+        """Ask the endpoint to stop a task; its own answer tells the end."""
+        await self.runner.stop(address, task)
+
+    def send(self, owner: slots.Owner, item: messages.AnyItem) -> bool:
         """Send to a coordinator over the link that it opened."""
-        link = self.process.coordinator_link(coordinator)
-        return link is not None and link.send(item)
+        link = self.process.coordinator_link(owner.member)
+        if link is None or link.member.incarnation != owner.incarnation:
+            return False
+        return link.send(item)
+
+    def is_current(self, link: links.Link) -> bool:
+        """Tell whether a link is the one on which answers go out.
+
+        Frames may still be read from a link that a newer one has replaced;
+        the coordinator asks after their tasks on the newer one.
+        """
+        return self.process.coordinator_link(link.member.id) is link
+
+    def recall(
+        self,
+        decide: Decide,
+        item: messages.Withdraw | messages.StopTasks | messages.QueryTasks,
+        link: links.Link,
+        granted_at: float = _UNKNOWN_TIME,
+    ) -> None:
+        """Answer for each of the tasks that a coordinator asks after."""
+        if not self.is_current(link):
+            return
+        now = time.monotonic()
+        owner = owner_of(link)
+        for task, grant in zip(item.tasks, item.grants, strict=True):
+            recall = recalls.Recall(owner, task, grant, granted_at)
+            decide(self.slots, recall, now)
+        self.slots.pump(now)
+
+
+def owner_of(link: links.Link) -> slots.Owner:
+    """Return the coordinator at the other end of a link."""
+    return slots.Owner(link.member.id, link.member.incarnation)
 
 
 @dispatch.receive.register(messages.Start)
@@ -129,7 +186,50 @@
     process: 'agent.Agent',
     link: links.Link,
 ) -> None:
-    process.worker.accept(item, link.frame_age)
+    worker = process.worker
+    known = worker.is_current(link)
+    if known and item.incarnation == link.member.incarnation:
+        worker.slots.accept(item, link.frame_age, time.monotonic())
+
+
+@dispatch.receive.register(messages.Reserve)
+def _reserve(
+    item: messages.Reserve,
+    process: 'agent.Agent',
+    link: links.Link,
+) -> None:
+    worker = process.worker
+    if worker.is_current(link):
+        worker.slots.reserve(item, owner_of(link), time.monotonic())
+
+
+@dispatch.receive.register(messages.Release)
+def _release(
+    item: messages.Release,
+    process: 'agent.Agent',
+    link: links.Link,
+) -> None:
+    process.worker.slots.queue.release(owner_of(link), item.jobs)
+
+
+@dispatch.receive.register(messages.NoTask)
+def _no_task(
+    item: messages.NoTask,
+    process: 'agent.Agent',
+    link: links.Link,
+) -> None:
+    worker = process.worker
+    if worker.is_current(link):
+        worker.slots.no_task(item, owner_of(link), time.monotonic())
+
+
+@dispatch.receive.register(messages.Withdraw)
+def _withdraw(
+    item: messages.Withdraw,
+    process: 'agent.Agent',
+    link: links.Link,
+) -> None:
+    process.worker.recall(recalls.withdraw, item, link)
 
 
 @dispatch.receive.register(messages.StopTasks)
@@ -138,16 +238,17 @@
     process: 'agent.Agent',
     link: links.Link,
 ) -> None:
-    worker = process.worker
-    wanted = set(item.tasks)
-    for grant in list(worker.queue):
-        if grant.start.task in wanted:
-            worker.queue.remove(grant)
-            worker.decline(grant, errors.Code.cancelled)
-    announcement = worker.endpoint.announcement
-    for task in wanted & worker.running.keys():
-        if announcement:
-            process.spawn(
-                worker.runner.stop(announcement.address, task),
-                f'stop {task}',
-            )
+    process.worker.recall(recalls.stop, item, link)
+
+
+@dispatch.receive.register(messages.QueryTasks)
+def _query_tasks(
+    item: messages.QueryTasks,
+    process: 'agent.Agent',
+    link: links.Link,
+) -> None:
+    age = item.age_ms / 1000 + link.frame_age
+    granted_at = time.monotonic() - age
+    if item.worker_incarnation != process.member.incarnation:
+        granted_at = _UNKNOWN_TIME
+    process.worker.recall(recalls.query, item, link, granted_at)
--- a/src/poplardrum/endpoints/announcements.py
+++ b/src/poplardrum/endpoints/announcements.py
@@ -40,6 +40,10 @@
         self.heard_at = now
         return changed
 
+    def suspend(self) -> None:
+        """Offer no slots until the endpoint announces itself again."""
+        self.heard_at = float('-inf')
+
     def usable(self, now: float) -> bool:
         """Tell whether new tasks may go to the endpoint."""
         return (
--- a/src/poplardrum/endpoints/runner.py
+++ b/src/poplardrum/endpoints/runner.py
@@ -12,7 +12,10 @@
 
 _OK: typing.Final = 200
 _STOPPED: typing.Final = 410
+_NOT_RUNNING: typing.Final = 404
 _MAX_OUTPUT: typing.Final = 65536
+_STOP_SECONDS: typing.Final = 2
+_HEADERS: typing.Final = {'Content-Type': 'application/json'}
 
 
 class Output(msgspec.Struct, frozen=True):
@@ -26,10 +29,16 @@
     """Run tasks at one endpoint over pooled connections."""
 
     def __init__(self, worker: ids.MemberId, connections: int) -> None:
-        """Open at most `connections` connections."""
+        """Open at most `connections` connections.
+
+        The time limit of each call is the caller's; aiohttp's own would
+        only add a timer.
+        """
         self.worker = worker
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=connections),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=None),
         )
 
     async def close(self) -> None:
@@ -41,50 +50,56 @@
         address: str,
         task: ids.TaskId,
         spec: messages.TaskSpec,
-        seconds: float,
+        limit: asyncio.Timeout,
     ) -> messages.TaskOutcome:
-        """Run a task for at most `seconds`; never raise for its failure."""
+        """Run a task until `limit`; never raise for its failure.
+
+        The verdict is `not_run` only when no connection could be opened.
+        """
         started = time.monotonic()
         try:
-            status, reply = await self._post(address, task, spec, seconds)
+            async with limit:
+                status, reply = await self._post(address, task, spec)
         except aiohttp.ClientConnectorError:
-            return self._failed(
+            verdict, code = (
                 errors.Verdict.not_run,
                 errors.Code.endpoint_failed,
-                started,
-            )
-        except asyncio.TimeoutError:
-            await self.stop(address, task)
-            return self._failed(
-                errors.Verdict.may_have_run,
-                errors.Code.deadline,
-                started,
             )
+        except TimeoutError:
+            verdict, code = errors.Verdict.may_have_run, errors.Code.deadline
         except (aiohttp.ClientError, msgspec.DecodeError, OSError):
-            return self._failed(
+            verdict, code = (
                 errors.Verdict.may_have_run,
                 errors.Code.endpoint_failed,
-                started,
             )
-        return self._outcome(status, reply, started)
+        else:
+            return self._outcome(status, reply, started)
+        return messages.TaskOutcome(
+            verdict=verdict,
+            code=code,
+            worker=self.worker,
+            seconds=time.monotonic() - started,
+        )
+
+    async def stop(self, address: str, task: ids.TaskId) -> bool:
+        """Stop a task; return whether it certainly does not run any more.
 
-    async def stop(self, address: str, task: ids.TaskId) -> None:
-        """Ask the endpoint to stop a task; a failure changes nothing."""
+        An endpoint to which no connection can be opened runs nothing.
+        """
         try:
-            response = await self.session.delete(
-                _url(address, task),
-                timeout=aiohttp.ClientTimeout(total=2),
-            )
-        except (aiohttp.ClientError, asyncio.TimeoutError):
-            return
-        response.release()
+            async with asyncio.timeout(_STOP_SECONDS):
+                async with self.session.delete(_url(address, task)) as reply:
+                    return reply.status in {_OK, _STOPPED, _NOT_RUNNING}
+        except aiohttp.ClientConnectorError:
+            return True
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
 
     async def _post(
         self,
         address: str,
         task: ids.TaskId,
         spec: messages.TaskSpec,
-        seconds: float,
     ) -> tuple[int, Output]:
         body = {
             'kind': spec.kind,
@@ -94,8 +109,7 @@
         async with self.session.post(
             _url(address, task),
             data=msgspec.json.encode(body),
-            headers={'Content-Type': 'application/json'},
-            timeout=aiohttp.ClientTimeout(total=seconds),
+            headers=_HEADERS,
         ) as response:
             content = await response.read()
             reply = msgspec.json.decode(content, type=Output)
@@ -120,18 +134,13 @@
             seconds=time.monotonic() - started,
         )
 
-    def _failed(
-        self,
-        verdict: errors.Verdict,
-        code: errors.Code,
-        started: float,
-    ) -> messages.TaskOutcome:
-        return messages.TaskOutcome(
-            verdict=verdict,
-            code=code,
-            worker=self.worker,
-            seconds=time.monotonic() - started,
-        )
+
+def failed(
+    outcome: messages.TaskOutcome,
+    code: errors.Code,
+) -> messages.TaskOutcome:
+    """Return an outcome with another code."""
+    return msgspec.structs.replace(outcome, code=code)
 
 
 def _url(address: str, task: ids.TaskId) -> str:
--- a/src/poplardrum/metrics.py
+++ b/src/poplardrum/metrics.py
@@ -41,6 +41,12 @@
             ('tenant',),
             registry=self.registry,
         )
+        self.wasted = prometheus_client.Counter(
+            'poplardrum_wasted_messages',
+            'Messages between processes that carried nothing of use',
+            ('reason',),
+            registry=self.registry,
+        )
         self.latency = Histograms('poplardrum_response_seconds')
         self.registry.register(self.latency)
 
--- a/src/poplardrum/peers/links.py
+++ b/src/poplardrum/peers/links.py
@@ -103,9 +103,14 @@
     def send(self, item: messages.AnyItem) -> bool:
         """Deliver the item soon, in order."""
         loop = asyncio.get_running_loop()
-        loop.call_soon(dispatch.receive, item, self.process, self)
+        loop.call_soon(self.deliver, item, time.monotonic())
         return True
 
+    def deliver(self, item: messages.AnyItem, sent: float) -> None:
+        """Hand over an item; its age counts a pause of the process."""
+        self.frame_age = time.monotonic() - sent
+        dispatch.receive(item, self.process, self)
+
 
 async def dial(process: 'node.Node', member: messages.Member) -> None:
     """Keep a link to `member` until this task is cancelled."""
--- a/src/poplardrum/peers/messages.py
+++ b/src/poplardrum/peers/messages.py
@@ -171,7 +171,12 @@
 
 
 class Start(Item):
-    """Grant one task to a worker under a lease."""
+    """Grant one task to a worker under a lease.
+
+    `grant` numbers the grants of a coordinator. `claim` names the claim
+    that this answers, 0 when there was none. `order` and `deadline_ms` are
+    relative to the time the frame was sent.
+    """
 
     task: ids.TaskId
     coordinator: ids.MemberId
@@ -182,6 +187,8 @@
     lease_ms: float
     deadline_ms: float
     spec: TaskSpec
+    grant: int = 0
+    claim: int = 0
 
 
 class Reserve(Item):
@@ -196,10 +203,14 @@
 
 
 class Claim(Item):
-    """Ask the coordinator for a task of a reserved job, for one free slot."""
+    """Ask the coordinator for a task of a reserved job, for one free slot.
+
+    When the job has none, one of the same tenant or of any other will do.
+    """
 
     job: ids.JobId
     claim: int
+    tenant: ids.TenantName = ids.TenantName('')
 
 
 class NoTask(Item):
@@ -209,23 +220,36 @@
     claim: int
 
 
+class Release(Item):
+    """Drop the reservations of jobs that have no task waiting."""
+
+    jobs: list[ids.JobId]
+
+
 class Withdraw(Item):
-    """Take tasks back that have not started."""
+    """Take tasks back that have not started; `grants` by position."""
 
     tasks: list[ids.TaskId]
+    grants: list[int] = []
 
 
 class StopTasks(Item):
     """Stop tasks, queued or running, of a cancelled job."""
 
     tasks: list[ids.TaskId]
+    grants: list[int] = []
 
 
 class QueryTasks(Item):
-    """Ask after tasks that were granted before a link broke."""
+    """Ask after tasks that were granted before a link broke.
+
+    `age_ms` is the time since the oldest of the grants was sent.
+    """
 
     tasks: list[ids.TaskId]
     worker_incarnation: ids.Incarnation
+    grants: list[int] = []
+    age_ms: float = 0
 
 
 class Done(Item):
@@ -240,6 +264,7 @@
 
     tasks: list[ids.TaskId]
     reason: errors.Code
+    grants: list[int] = []
 
 
 class TaskRunning(Item):
@@ -313,6 +338,7 @@
     | Reserve
     | Claim
     | NoTask
+    | Release
     | Withdraw
     | StopTasks
     | QueryTasks
