Report every problem of the rule files with its place

Only the first problem was reported, some without a line (syntax errors, lines shifted by characters that only str.splitlines takes as line ends), and values had no bounds. Two tenants could share one credential, so the first in order got the work of both. A tenant now needs a credential of its own after all files are merged.

--- a/src/poplardrum/ini.py
+++ b/src/poplardrum/ini.py
@@ -8,13 +8,17 @@
 
 from poplardrum import errors
 
-_SECTION = re.compile(r'^\[(?P<name>[^\]]+)\]')
+_SECTION = re.compile(r'^\[(?P<name>.+)\]')
 _OPTION = re.compile(r'^(?P<name>[^\s=:#;\[][^=:]*?)\s*[=:]')
-_QUANTITY = re.compile(r'^(?P<number>\d+(?:\.\d+)?)\s*(?P<unit>[A-Za-z]*)$')
-_NAME = re.compile(r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$')
+_QUANTITY = re.compile(
+    r'^(?P<number>\d+(?:\.\d+)?)\s*(?P<unit>[A-Za-z]*)$', re.ASCII
+)
+_NUMBER = re.compile(r'^\s*\d{1,15}(?:\.\d{1,15})?\s*$', re.ASCII)
+_NAME = re.compile(r'^[A-Za-z0-9][A-Za-z0-9._-]{0,63}\Z')
 _DURATIONS: typing.Final = {'ms': 0.001, 's': 1.0, 'min': 60.0, 'h': 3600.0}
 _SIZES: typing.Final = {'B': 1, 'KB': 1024, 'MB': 1048576}
 _MAX_PORT: typing.Final = 65535
+_MAX_DIGITS: typing.Final = 15
 
 Address = tuple[str, int]
 
@@ -46,7 +50,7 @@
     try:
         parser.read_string(text, source)
     except configparser.Error as error:
-        raise errors.refusal(code, str(error).replace('\n', ' ')) from None
+        raise errors.refusal(code, _syntax(error, source)) from None
     lines = _line_numbers(text)
     return {
         name: _section(parser, name, source, lines)
@@ -54,6 +58,24 @@
     }
 
 
+def _syntax(error: configparser.Error, source: str) -> str:
+    match error:
+        case configparser.DuplicateSectionError():
+            where = f'{source}:{error.lineno}: [{error.section}]'
+            return f'{where}: the section stands twice in this file'
+        case configparser.DuplicateOptionError():
+            where = f'{source}:{error.lineno}: [{error.section}]'
+            return f'{where} {error.option}: the option stands twice'
+        # A ParsingError too, but with an empty list of lines.
+        case configparser.MissingSectionHeaderError():
+            return f'{source}:{error.lineno}: a line before any section'
+        case configparser.ParsingError():
+            line, text = error.errors[0]
+            return f'{source}:{line}: neither section nor option: {text}'
+        case _:
+            return f'{source}: {error}'
+
+
 def _section(
     parser: configparser.ConfigParser,
     name: str,
@@ -74,7 +96,8 @@
 def _line_numbers(text: str) -> dict[tuple[str, str], int]:
     found: dict[tuple[str, str], int] = {}
     section = ''
-    for number, line in enumerate(text.splitlines(), start=1):
+    # Only a newline ends a line for configparser; `str.splitlines` has more.
+    for number, line in enumerate(text.split('\n'), start=1):
         header = _SECTION.match(line)
         if header:
             section = header.group('name')
@@ -109,17 +132,15 @@
 
 def integer(text: str) -> int:
     """Convert a whole number of at least zero."""
-    if not text.strip().isdecimal():
+    digits = text.strip()
+    if not digits.isdecimal() or len(digits) > _MAX_DIGITS:
         raise ValueError(f'expected a whole number, got {text!r}')
-    return int(text)
+    return int(digits)
 
 
 def positive(text: str) -> float:
     """Convert a number above zero."""
-    try:
-        number = float(text)
-    except ValueError:
-        number = 0
+    number = float(text) if _NUMBER.match(text) else 0
     if not 0 < number < float('inf'):
         raise ValueError(f'expected a number above 0, got {text!r}')
     return number
--- a/src/poplardrum/operators/rules.py
+++ b/src/poplardrum/operators/rules.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from poplardrum import errors, ids, ini
+from poplardrum.operators import options
 
 
 class TenantRule(msgspec.Struct, frozen=True):
@@ -60,133 +61,144 @@
     placement: PlacementRule = PlacementRule()
 
 
-Converter = typing.Callable[[str], typing.Any]
-Converters = dict[str, Converter]
+class Found(typing.NamedTuple):
+    """A converted value and where the option that set it stands."""
 
-_DIGEST_DIGITS: typing.Final = 64
+    value: typing.Any
+    where: str
 
 
-def _digest(text: str) -> str:
-    if len(text) != _DIGEST_DIGITS or set(text) - set('0123456789abcdef'):
-        raise ValueError('expected a SHA-256 digest in lower-case hexadecimal')
-    return text
+SectionKey = tuple[str, str]
 
+# Further problems are counted, so that the message stays readable.
+_MAX_PROBLEMS: typing.Final = 20
 
-def _state(text: str) -> str:
-    if text not in {'ready', 'leaving'}:
-        raise ValueError(f'expected ready or leaving, got {text!r}')
-    return text
-
-
-def _policy(text: str) -> str:
-    if text not in {'late_binding', 'expected_finish', 'random_two'}:
-        raise ValueError(f'unknown placement policy {text!r}')
-    return text
-
-
-_TENANT: typing.Final[Converters] = {
-    'credential_sha256': _digest,
-    'share': ini.positive,
-    'region': ini.name,
-    'max_jobs': ini.integer,
-    'max_tasks': ini.integer,
+_NAMED: typing.Final[typing.Mapping[str, type]] = {
+    'tenant': TenantRule,
+    'class': ClassRule,
+    'kind': KindRule,
+    'worker': WorkerRule,
 }
-_CLASS: typing.Final[Converters] = {
-    'urgency': ini.integer,
-    'deadline': ini.duration,
-}
-_KIND: typing.Final[Converters] = {'declared': ini.duration}
-_WORKER: typing.Final[Converters] = {'state': _state}
-_LIMITS: typing.Final[Converters] = {
-    'max_tasks_per_job': ini.integer,
-    'max_wait': ini.duration,
-}
-_PLACEMENT: typing.Final[Converters] = {'policy': _policy}
-_NAMED: typing.Final[dict[str, tuple[type, Converters]]] = {
-    'tenant': (TenantRule, _TENANT),
-    'class': (ClassRule, _CLASS),
-    'kind': (KindRule, _KIND),
-    'worker': (WorkerRule, _WORKER),
-}
-_SINGLE: typing.Final[dict[str, tuple[type, Converters]]] = {
-    'limits': (LimitsRule, _LIMITS),
-    'placement': (PlacementRule, _PLACEMENT),
+_SINGLE: typing.Final[typing.Mapping[str, type]] = {
+    'limits': LimitsRule,
+    'placement': PlacementRule,
 }
 
 
 def merge(files: typing.Mapping[str, str]) -> Rules:
-    """Merge files in the order of their names; raise with file and line."""
-    values: dict[tuple[str, str], dict[str, typing.Any]] = {}
+    """Merge files in the order of their names.
+
+    Raises `rules`; the message has a line for each problem, with file, line,
+    section and option.
+    """
+    merger = Merger()
     for file_name in sorted(files):
-        _merge_file(files[file_name], file_name, values)
-    return _build(values)
+        merger.add(files[file_name], file_name)
+    merger.check_tenants()
+    if merger.problems:
+        raise errors.refusal(errors.Code.rules, _message(merger.problems))
+    return merger.build()
 
 
-def _merge_file(
-    text: str,
-    file_name: str,
-    values: dict[tuple[str, str], dict[str, typing.Any]],
-) -> None:
-    sections = ini.parse(text, file_name, errors.Code.rules)
-    for section in sections.values():
-        group, _, name = section.name.partition(' ')
-        converters = _converters(group, name, section)
-        merged = values.setdefault((group, name), {})
-        for option_name, option in section.options.items():
-            merged[option_name] = _convert(converters, option_name, option)
+class Merger:
+    """Collect the options of all files and the problems found in them."""
 
+    def __init__(self) -> None:
+        """Start without options."""
+        self.sections: dict[SectionKey, dict[str, Found]] = {}
+        self.places: dict[SectionKey, str] = {}
+        self.problems: list[str] = []
 
-def _converters(
-    group: str,
-    name: str,
-    section: ini.Section,
-) -> Converters:
-    if group in _SINGLE and not name:
-        return _SINGLE[group][1]
-    if group in _NAMED:
+    def add(self, text: str, file_name: str) -> None:
+        """Add a file; its options override those of earlier files."""
+        try:
+            sections = ini.parse(text, file_name, errors.Code.rules)
+        except errors.PoplardrumError as error:
+            self.problems.append(error.message)
+            return
+        for section in sections.values():
+            self._add_section(section)
+
+    def check_tenants(self) -> None:
+        """Find tenants that nobody or more than one caller could use."""
+        owners: dict[str, str] = {}
+        for key, found in self.sections.items():
+            if key[0] != 'tenant':
+                continue
+            credential = found.get('credential_sha256')
+            if credential is None:
+                self._problem(self.places[key], 'missing credential_sha256')
+                continue
+            other = owners.setdefault(credential.value, key[1])
+            if other != key[1]:
+                self._problem(
+                    credential.where,
+                    f'the credential is already that of tenant {other}',
+                )
+
+    def build(self) -> Rules:
+        """Return the typed rules; call it only without problems."""
+        named: dict[str, dict[typing.Any, typing.Any]] = {
+            group: {} for group in _NAMED
+        }
+        single: dict[str, typing.Any] = {
+            group: kind() for group, kind in _SINGLE.items()
+        }
+        for (group, name), found in self.sections.items():
+            values = {option: item.value for option, item in found.items()}
+            if group in _SINGLE:
+                single[group] = _SINGLE[group](**values)
+            else:
+                named[group][name] = _NAMED[group](**values)
+        return Rules(
+            tenants=named['tenant'],
+            classes=named['class'],
+            kinds=named['kind'],
+            workers=named['worker'],
+            limits=single['limits'],
+            placement=single['placement'],
+        )
+
+    def _add_section(self, section: ini.Section) -> None:
+        group, _, name = section.name.partition(' ')
+        known = group in _SINGLE and not name or group in _NAMED
+        if not known:
+            self._problem(section.where, 'unknown section')
+            return
+        if group in _NAMED:
+            try:
+                ini.name(name)
+            except ValueError as error:
+                self._problem(section.where, str(error))
+                return
+        key = (group, name)
+        self.places.setdefault(key, section.where)
+        merged = self.sections.setdefault(key, {})
+        for option_name, option in section.options.items():
+            self._add_option(group, option_name, option, merged)
+
+    def _add_option(
+        self,
+        group: str,
+        name: str,
+        option: ini.Option,
+        merged: dict[str, Found],
+    ) -> None:
+        convert = options.CONVERTERS[group].get(name)
+        if convert is None:
+            self._problem(option.where, 'unknown option')
+            return
         try:
-            ini.name(name)
+            merged[name] = Found(convert(option.text), option.where)
         except ValueError as error:
-            raise _error(section.where, str(error)) from None
-        return _NAMED[group][1]
-    raise _error(section.where, 'unknown section')
-
-
-def _convert(
-    converters: Converters,
-    option_name: str,
-    option: ini.Option,
-) -> typing.Any:
-    converter = converters.get(option_name)
-    if converter is None:
-        raise _error(option.where, 'unknown option')
-    try:
-        return converter(option.text)
-    except ValueError as error:
-        raise _error(option.where, str(error)) from None
-
-
-def _build(values: dict[tuple[str, str], dict[str, typing.Any]]) -> Rules:
-    named: dict[str, dict[typing.Any, typing.Any]] = {
-        group: {} for group in _NAMED
-    }
-    single: dict[str, typing.Any] = {
-        group: kind() for group, (kind, _) in _SINGLE.items()
-    }
-    for (group, name), options in values.items():
-        if group in _SINGLE:
-            single[group] = _SINGLE[group][0](**options)
-        else:
-            named[group][name] = _NAMED[group][0](**options)
-    return Rules(
-        tenants=named['tenant'],
-        classes=named['class'],
-        kinds=named['kind'],
-        workers=named['worker'],
-        limits=single['limits'],
-        placement=single['placement'],
-    )
-
-
-def _error(where: str, message: str) -> errors.PoplardrumError:
-    return errors.refusal(errors.Code.rules, f'{where}: {message}')
+            self._problem(option.where, str(error))
+
+    def _problem(self, where: str, message: str) -> None:
+        self.problems.append(f'{where}: {message}')
+
+
+def _message(problems: list[str]) -> str:
+    shown = problems[:_MAX_PROBLEMS]
+    if len(problems) > len(shown):
+        shown.append(f'and {len(problems) - len(shown)} more')
+    return '\n'.join(shown)
