Keep histories of the configuration apart and join them

A number was the predecessor's plus one, so after a restore of the platform two entries could give one number to two documents, and the document with the higher number silently replaced the other one's edits. A number now carries a digest of what made it, a document tells by its history which others it includes, and documents that each have edits of their own are joined by one more compare-and-swap. An edit that is unknown to the platform is written back by any entry within a tick instead of at the next watch.

--- a/src/poplardrum/daemons/configuration.py
+++ b/src/poplardrum/daemons/configuration.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import logging
+import time
 import typing
 
 import msgspec
 
-from poplardrum import errors, ids
-from poplardrum.operators import document
+from poplardrum import errors
+from poplardrum.operators import document, edits, holder
 from poplardrum.peers import dispatch, links, messages
 from poplardrum.platform import store
 
@@ -17,33 +18,58 @@
 logger = logging.getLogger(__name__)
 
 _WATCH_SECONDS: typing.Final = 55.0
+_TICK_SECONDS: typing.Final = 0.2
 _RETRY_SECONDS: typing.Final = 0.5
 
 
-def adopt(process: 'node.Node', received: document.Document) -> bool:
-    """Put a document in force if it is newer; tell the peers then."""
+class Stored(msgspec.Struct, frozen=True):
+    """The document in the platform and the index of its write."""
+
+    document: document.Document
+    index: int
+
+
+def confirmed(process: 'node.Node', stored: document.Document) -> None:
+    """Take note of a document that the platform holds."""
+    outcome = _guarded(process.configuration.confirmed, stored)
+    if outcome is holder.Outcome.adopted:
+        _announce(process)
+
+
+def _guarded(
+    step: typing.Callable[[document.Document], holder.Outcome],
+    received: document.Document,
+) -> holder.Outcome:
     try:
-        adopted = process.configuration.adopt(received)
+        return step(received)
     except errors.PoplardrumError as error:
         logger.error('configuration %d: %s', received.number, error.message)
-        return False
-    if adopted:
-        logger.info('configuration %d is in force', received.number)
-        for link in process.all_links():
-            offer(process, link)
-    return adopted
+        return holder.Outcome.known
+
 
+def _announce(process: 'node.Node') -> None:
+    logger.info('configuration %d is in force', process.configuration.number)
+    for link in process.all_links():
+        if not offer(process, link):
+            # Each frame carries the number now in force here.
+            link.send(messages.Heartbeat())
 
-def offer(process: 'node.Node', link: links.Link) -> None:
+
+def offer(process: 'node.Node', link: links.Link) -> bool:
     """Send the document to a peer that runs by a lower number."""
     number = process.configuration.number
     if link.config >= number or link.offered >= number:
-        return
+        return False
     if messages.Role.entry not in {process.member.role, link.member.role}:
-        return
-    link.offered = number
-    data = document.encode(process.configuration.document)
-    link.send(messages.ConfigUpdate(number, data))
+        return False
+    _send(process, link)
+    return True
+
+
+def _send(process: 'node.Node', link: links.Link) -> None:
+    held = process.configuration.document
+    link.offered = held.number
+    link.send(messages.ConfigUpdate(held.number, document.encode(held)))
 
 
 @dispatch.receive.register(messages.ConfigUpdate)
@@ -52,99 +78,236 @@
     process: 'node.Node',
     link: links.Link,
 ) -> None:
-    if item.number > process.configuration.number:
-        adopt(process, document.decode(item.document))
+    held = process.configuration
+    if held.knows(item.number):
+        return
+    received = document.decode(item.document)
+    outcome = _guarded(held.receive, received)
+    if outcome is holder.Outcome.adopted:
+        _announce(process)
+    if outcome is not holder.Outcome.fork:
+        return
+    logger.warning(
+        'configuration %d of %s lacks edits of %d',
+        item.number,
+        link.member.id,
+        held.number,
+    )
+    if process.member.role is messages.Role.entry:
+        held.keep_fork(received)
+    else:
+        # Only an entry can join two histories; it needs both.
+        _send(process, link)
 
 
 async def watch(process: 'node.Node', platform: store.Store) -> None:
-    """Follow the document in the platform until cancelled."""
+    """Follow the document in the platform until cancelled.
+
+    Edits that the platform lacks, as after a restore, are written back.
+    """
+    held = process.configuration
+    held.settle_by = time.monotonic() + process.settings.peers.silence
+    await asyncio.gather(
+        _follow(process, platform), _restore(process, platform)
+    )
+
+
+async def _follow(process: 'node.Node', platform: store.Store) -> None:
     index = 0
     while True:
         try:
-            snapshot = await platform.read(
-                store.CONFIG_KEY,
-                after=index,
-                wait=_WATCH_SECONDS,
-            )
-            await _take(process, platform, snapshot)
+            index = await _next(process, platform, index)
         except (errors.PoplardrumError, msgspec.DecodeError) as error:
             logger.warning('configuration watch: %s', error)
             index = 0
-            await asyncio.sleep(_RETRY_SECONDS)
-            continue
-        index = snapshot.index
+            await _pause(process, _RETRY_SECONDS)
 
 
-async def _take(
+async def _next(
     process: 'node.Node',
     platform: store.Store,
-    snapshot: store.Snapshot,
-) -> None:
-    stored = document.Document()
-    index = 0
-    if snapshot.values:
-        stored = document.decode(snapshot.values[0].value)
-        index = snapshot.values[0].index
-    if adopt(process, stored):
+    index: int,
+) -> int:
+    snapshot = await platform.read(
+        store.CONFIG_KEY,
+        after=index,
+        wait=_WATCH_SECONDS,
+    )
+    confirmed(process, _stored(snapshot).document)
+    # A restored service may start again from a lower index.
+    return snapshot.index if snapshot.index >= index else 0
+
+
+async def _restore(process: 'node.Node', platform: store.Store) -> None:
+    held = process.configuration
+    while True:
+        await _pause(process, _TICK_SECONDS)
+        if not held.is_behind():
+            continue
+        try:
+            await _write_back(process, platform)
+        except (errors.PoplardrumError, msgspec.DecodeError) as error:
+            logger.warning('configuration write back: %s', error)
+            await _pause(process, _RETRY_SECONDS)
+
+
+async def _write_back(process: 'node.Node', platform: store.Store) -> None:
+    stored = await read(platform)
+    confirmed(process, stored.document)
+    target = process.configuration.target(stored.document)
+    if target.number == stored.document.number:
         return
-    held = process.configuration.document
-    if stored.number < held.number:
-        # The platform came back with an older document, as after a restore.
-        logger.warning('platform holds configuration %d', stored.number)
-        await platform.write(
-            store.CONFIG_KEY,
-            document.encode(held),
-            expected=index,
-        )
+    logger.warning(
+        'platform holds configuration %d, writing %d',
+        stored.document.number,
+        target.number,
+    )
+    lost = target.conflicts.keys() - stored.document.conflicts.keys()
+    for name in sorted(lost):
+        logger.error('configuration: two accepted versions of %s', name)
+    if await platform.write(
+        store.CONFIG_KEY,
+        document.encode(target),
+        expected=stored.index,
+    ):
+        confirmed(process, target)
+
+
+async def read(platform: store.Store) -> Stored:
+    """Read the document; raise `platform` or `msgspec.DecodeError`."""
+    return _stored(await platform.read(store.CONFIG_KEY))
+
+
+def _stored(snapshot: store.Snapshot) -> Stored:
+    if not snapshot.values:
+        return Stored(document.Document(), 0)
+    found = snapshot.values[0]
+    return Stored(document.decode(found.value), found.index)
+
+
+async def _pause(process: 'node.Node', seconds: float) -> None:
+    await asyncio.sleep(seconds * process.random.uniform(0.5, 1))
 
 
 async def edit(
     process: 'node.Node',
     platform: store.Store,
-    request: document.Edit,
+    request: edits.Edit,
 ) -> document.Document:
     """Apply an edit by compare-and-swap and return the new document.
 
-    Raises `rules` for bad content, `conflict` when a file has changed since
-    the operator read it, `platform` when the write is not confirmed.
+    Raises the errors of `edits.plan` and `platform` when the write is not
+    confirmed in time. The verdict is `may_have_run` as long as a write of
+    this edit may still take effect; the same edit sent again settles it.
     """
+    edits.check(request, process.configuration.bounds)
+    await settle(process)
+    attempt = Attempt(process, platform, request)
+    deadline = time.monotonic() + process.settings.platform.edit
     while True:
-        snapshot = await platform.read(store.CONFIG_KEY)
-        stored = document.Document()
-        index = 0
-        if snapshot.values:
-            stored = document.decode(snapshot.values[0].value)
-            index = snapshot.values[0].index
-        if request.edit in stored.edits:
-            adopt(process, stored)
-            return stored
-        changed = document.apply(
-            max(stored, process.configuration.document, key=_number),
-            request,
-        )
-        if await _write(platform, changed, index):
-            adopt(process, changed)
-            return changed
+        done = await attempt.step()
+        if done is not None:
+            return done
+        if time.monotonic() > deadline:
+            raise attempt.failure('the platform has not confirmed the edit')
+        await _pause(process, _TICK_SECONDS)
 
 
-def _number(item: document.Document) -> ids.ConfigNumber:
-    return item.number
+async def settle(process: 'node.Node') -> None:
+    """Wait until the peers cannot hold an edit that is unknown here.
 
+    An entry that has just started may read a restored document from the
+    platform before its peers have told it of later edits. Peers that cannot
+    be reached within the silence limit are not waited for.
+    """
+    limit = time.monotonic() + process.settings.peers.silence
+    while time.monotonic() < limit and not _is_settled(process):
+        await asyncio.sleep(_TICK_SECONDS / 4)
 
-async def _write(
-    platform: store.Store,
-    changed: document.Document,
-    index: int,
-) -> bool:
-    try:
-        return await platform.write(
-            store.CONFIG_KEY,
-            document.encode(changed),
-            expected=index,
-        )
-    except errors.PoplardrumError as error:
-        if error.verdict is errors.Verdict.may_have_run:
-            # The next read settles by the edit's id whether it took effect.
-            logger.warning('configuration write: %s', error)
+
+def _is_settled(process: 'node.Node') -> bool:
+    held = process.configuration
+    if not all(held.knows(link.config) for link in process.all_links()):
+        return False
+    if time.monotonic() > held.settle_by:
+        return True
+    agents = [
+        member.id
+        for member in process.known_members()
+        if member.role is messages.Role.agent
+        and member.state is not messages.MemberState.gone
+    ]
+    return bool(agents) and all(map(process.link_to, agents))
+
+
+class Attempt:
+    """One edit on its way into the platform."""
+
+    def __init__(
+        self,
+        process: 'node.Node',
+        platform: store.Store,
+        request: edits.Edit,
+    ) -> None:
+        """Start without a write."""
+        self.process = process
+        self.platform = platform
+        self.request = request
+        self.unsettled: int | None = None
+
+    async def step(self) -> document.Document | None:
+        """Read, decide and write once; return the document if confirmed."""
+        try:
+            stored = await read(self.platform)
+        except errors.PoplardrumError as error:
+            if self.unsettled is None:
+                raise
+            logger.warning('configuration edit: %s', error.message)
+            return None
+        except msgspec.DecodeError as error:
+            raise self.failure(f'the stored document is unreadable: {error}')
+        if stored.index != self.unsettled:
+            # A write that expected another index can no longer take effect.
+            self.unsettled = None
+        return await self._write(stored)
+
+    async def _write(self, stored: Stored) -> document.Document | None:
+        held = self.process.configuration
+        try:
+            plan = edits.plan(
+                stored.document,
+                held,
+                self.request,
+                held.bounds,
+            )
+        except errors.PoplardrumError as error:
+            if self.unsettled is not None:
+                error.verdict = errors.Verdict.may_have_run
+            raise
+        if plan.write and not await self._swap(stored.index, plan.document):
+            return None
+        confirmed(self.process, plan.document)
+        return plan.document
+
+    async def _swap(self, index: int, changed: document.Document) -> bool:
+        try:
+            return await self.platform.write(
+                store.CONFIG_KEY,
+                document.encode(changed),
+                expected=index,
+            )
+        except errors.PoplardrumError as error:
+            logger.warning('configuration edit: %s', error.message)
+            if error.verdict is errors.Verdict.may_have_run:
+                # The next read tells by the edit's id if it took effect.
+                self.unsettled = index
             return False
-        raise
+
+    def failure(self, message: str) -> errors.PoplardrumError:
+        """Return the error for an edit that is not confirmed."""
+        if self.unsettled is None:
+            return errors.refusal(errors.Code.platform, message, 1)
+        return errors.uncertain(
+            errors.Code.platform,
+            f'{message}; send it again with the same edit id to settle it',
+        )
--- a/src/poplardrum/daemons/entry.py
+++ b/src/poplardrum/daemons/entry.py
@@ -105,6 +105,7 @@
         platform = consul.ConsulStore(
             config.platform.address,
             config.platform.timeout,
+            config.platform.calls,
         )
         stack.push_async_callback(platform.close)
         process = Entry(config, stack, platform)
--- a/src/poplardrum/daemons/node.py
+++ b/src/poplardrum/daemons/node.py
@@ -11,7 +11,7 @@
 
 from poplardrum import ids, metrics, settings
 from poplardrum.coordination import views
-from poplardrum.operators import document
+from poplardrum.operators import document, holder
 from poplardrum.peers import links, messages
 
 logger = logging.getLogger(__name__)
@@ -47,7 +47,7 @@
         self.links: dict[ids.MemberId, links.Link] = {}
         self.inbound: dict[ids.MemberId, links.Link] = {}
         self.dialers: dict[ids.MemberId, asyncio.Task[None]] = {}
-        self.configuration = document.Holder()
+        self.configuration = holder.Holder(document.bounds(config.limits))
         self.tasks: set[asyncio.Task[typing.Any]] = set()
         stack.push_async_callback(self.cancel_tasks)
 
--- a/src/poplardrum/operators/document.py
+++ b/src/poplardrum/operators/document.py
@@ -1,14 +1,18 @@
-"""The configuration document and the copy that a process runs by."""
+"""The configuration document: its form, its numbers and their history."""
 
+import hashlib
 import typing
 
 import msgspec
 
-from poplardrum import errors, ids
+from poplardrum import errors, ids, settings
 from poplardrum.operators import rules
 
-
-MAX_EDITS: typing.Final = 256
+# The low bits of a number are a digest of what made the document. After a
+# restore two entries may each make a successor of the same document; the
+# digest keeps their numbers apart.
+DIGEST_BITS: typing.Final = 24
+_DIGEST_BYTES: typing.Final = 3
 
 
 class RuleFile(msgspec.Struct, frozen=True):
@@ -18,34 +22,54 @@
     number: ids.ConfigNumber
 
 
-class FileEdit(msgspec.Struct, frozen=True):
-    """Change of one file; `base` is its number as the operator read it.
-
-    `base` is 0 for a new file; `text` is `None` for a removal.
-    """
-
-    name: str
-    base: ids.ConfigNumber
-    text: str | None
-
-
-class Edit(msgspec.Struct, frozen=True):
-    """One edit of any number of files under its own id."""
+class Applied(msgspec.Struct, frozen=True):
+    """An edit in the history; `digest` tells a reuse of its id."""
 
     edit: ids.EditId
-    files: list[FileEdit]
+    digest: str
 
 
 class Document(msgspec.Struct, frozen=True):
     """All files under one number that only grows.
 
-    `edits` holds the ids of the latest edits with their numbers, so that an
-    edit whose answer was lost can be settled by reading.
+    `history` holds the latest edits by the number each has made, so that an
+    edit whose answer was lost is settled by reading, and so that a document
+    tells which others it includes. `floor` is the highest number dropped
+    from the history. `conflicts` holds file versions that lost to another
+    one when two histories were joined.
     """
 
     number: ids.ConfigNumber = ids.ConfigNumber(0)
     files: dict[str, RuleFile] = {}
-    edits: dict[ids.EditId, ids.ConfigNumber] = {}
+    history: dict[ids.ConfigNumber, Applied] = {}
+    floor: ids.ConfigNumber = ids.ConfigNumber(0)
+    conflicts: dict[str, RuleFile] = {}
+
+    def texts(self) -> dict[str, str]:
+        """Return the text of each file."""
+        return {name: kept.text for name, kept in self.files.items()}
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Bounds of a document; sizes in bytes.
+
+    The platform takes values of up to 1 MB; `document` leaves a margin.
+    """
+
+    files: int = 1024
+    file: int = 65536
+    document: int = 921600
+    history: int = 512
+
+
+def bounds(limits: settings.Limits) -> Bounds:
+    """Return the bounds that the settings of a process give."""
+    return Bounds(
+        files=limits.config_files,
+        file=limits.config_file,
+        document=limits.config_document,
+        history=max(limits.config_history, 1),
+    )
 
 
 def encode(document: Document) -> bytes:
@@ -58,45 +82,130 @@
     return msgspec.json.decode(data, type=Document)
 
 
-def apply(document: Document, edit: Edit) -> Document:
-    """Return the document after an edit; raise `conflict` or `rules`."""
-    files = dict(document.files)
-    number = ids.ConfigNumber(document.number + 1)
-    for change in edit.files:
-        known = files.get(change.name)
-        if (known.number if known else 0) != change.base:
-            raise errors.refusal(
-                errors.Code.conflict,
-                f'{change.name}: changed by another edit since it was read',
-            )
-        files.pop(change.name, None)
-        if change.text is not None:
-            files[change.name] = RuleFile(change.text, number)
-    rules.merge({name: kept.text for name, kept in files.items()})
-    edits = dict(list(document.edits.items())[1 - MAX_EDITS :])
-    return Document(number, files, {**edits, edit.edit: number})
-
-
-class Holder:
-    """Hold the document in force; it never goes to a lower number."""
-
-    def __init__(self) -> None:
-        """Start without a configuration."""
-        self.document = Document()
-        self.rules = rules.Rules()
-
-    @property
-    def number(self) -> ids.ConfigNumber:
-        """Return the number in force; 0 before the first document."""
-        return self.document.number
-
-    def adopt(self, document: Document) -> bool:
-        """Put a newer document in force; return whether it was newer."""
-        if document.number <= self.number:
-            return False
-        merged = rules.merge(
-            {name: kept.text for name, kept in document.files.items()}
+def next_number(
+    parent: ids.ConfigNumber,
+    *parts: typing.Any,
+) -> ids.ConfigNumber:
+    """Return a number above `parent` that only `parts` lead to."""
+    text = '\0'.join(str(part) for part in (parent, *parts))
+    digest = hashlib.sha256(text.encode()).digest()[:_DIGEST_BYTES]
+    counter = (parent >> DIGEST_BITS) + 1
+    return ids.ConfigNumber(
+        counter << DIGEST_BITS | int.from_bytes(digest, 'big'),
+    )
+
+
+def includes(newer: Document, older: Document) -> bool:
+    """Tell whether all edits of `older` went into `newer`.
+
+    Beyond the history a lower number counts as included.
+    """
+    return older.number in newer.history or older.number <= newer.floor
+
+
+def knows(document: Document, number: ids.ConfigNumber) -> bool:
+    """Tell whether the edit that made `number` went into a document."""
+    return number in document.history or number <= document.floor
+
+
+def remember(
+    document: Document,
+    history: dict[ids.ConfigNumber, Applied],
+    floor: ids.ConfigNumber,
+    limit: int,
+) -> Document:
+    """Return the document with the latest `limit` edits of a history."""
+    numbers = sorted(history)
+    dropped = numbers[:-limit]
+    return msgspec.structs.replace(
+        document,
+        history={number: history[number] for number in numbers[-limit:]},
+        floor=max([floor, *dropped]),
+    )
+
+
+def join(one: Document, two: Document, limits: Bounds) -> Document:
+    """Return a document that includes both.
+
+    That is one of them, unless each has edits that the other lacks, as
+    after a restore of the platform. A file that only one side changed is
+    taken from there; of a file that both changed, the version with the
+    higher number stays and the other is kept in `conflicts`. The same two
+    documents always give the same result.
+    """
+    if includes(one, two):
+        return one
+    if includes(two, one):
+        return two
+    low, high = sorted((one, two), key=lambda item: item.number)
+    number = next_number(high.number, low.number)
+    history = {**low.history, **high.history}
+    history[number] = Applied(ids.EditId('join'), '')
+    floor = max(low.floor, high.floor)
+    for files, conflicts in _candidates(low, high):
+        joined = remember(
+            Document(number, files, {}, floor, conflicts),
+            history,
+            floor,
+            limits.history,
         )
-        self.document = document
-        self.rules = merged
-        return True
+        if _is_sound(joined, limits):
+            break
+    return joined
+
+
+Files = dict[str, RuleFile]
+
+
+def _candidates(
+    low: Document,
+    high: Document,
+) -> typing.Iterator[tuple[Files, Files]]:
+    files: Files = {}
+    lost = {**low.conflicts, **high.conflicts}
+    for name in sorted({*low.files, *high.files}):
+        kept, loser = _resolve(low, high, name)
+        if kept:
+            files[name] = kept
+        if loser:
+            lost[name] = loser
+    yield files, lost
+    # The joined files contradict each other or are too large together.
+    differing = {
+        name: kept
+        for name, kept in low.files.items()
+        if high.files.get(name) != kept
+    }
+    yield high.files, {**lost, **differing}
+    yield high.files, {}
+
+
+def _resolve(
+    low: Document,
+    high: Document,
+    name: str,
+) -> tuple[RuleFile | None, RuleFile | None]:
+    ours, theirs = high.files.get(name), low.files.get(name)
+    if ours is None or theirs is None:
+        present = ours or theirs
+        absent_in = low if theirs is None else high
+        if present and knows(absent_in, present.number):
+            return None, None
+        return present, None
+    if ours == theirs or knows(high, theirs.number):
+        return ours, None
+    if knows(low, ours.number):
+        return theirs, None
+    return max((ours, theirs), key=_number), min((ours, theirs), key=_number)
+
+
+def _number(kept: RuleFile) -> ids.ConfigNumber:
+    return kept.number
+
+
+def _is_sound(joined: Document, limits: Bounds) -> bool:
+    try:
+        rules.merge(joined.texts())
+    except errors.PoplardrumError:
+        return False
+    return len(encode(joined)) <= limits.document
--- /dev/null
+++ b/src/poplardrum/operators/edits.py
@@ -0,0 +1,223 @@
+"""Edits of the configuration document."""
+
+import hashlib
+import re
+import typing
+
+import msgspec
+
+from poplardrum import errors, ids
+from poplardrum.operators import document as documents
+from poplardrum.operators import holder, rules
+
+_FILE_NAME: typing.Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,58}\.ini')
+_EDIT_ID: typing.Final = re.compile(r'[A-Za-z0-9._-]{1,64}')
+_DIGEST_DIGITS: typing.Final = 16
+
+
+class FileEdit(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Change of one file; `base` is its number as the operator read it.
+
+    `base` is 0 for a new file; `text` is `None` for a removal.
+    """
+
+    name: str
+    base: ids.ConfigNumber
+    text: str | None
+
+
+class Edit(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One edit of any number of files under its own id.
+
+    `read` is the number of the document that the operator read.
+    """
+
+    edit: ids.EditId
+    files: list[FileEdit]
+    read: ids.ConfigNumber = ids.ConfigNumber(0)
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """Both versions of a file that another edit changed or removed.
+
+    `number` is that of the stored version, 0 when the file is not stored.
+    """
+
+    name: str
+    base: ids.ConfigNumber
+    number: ids.ConfigNumber
+    yours: str | None
+    theirs: str | None
+
+
+class ConflictError(errors.PoplardrumError):
+    """Refuse an edit of files that have changed since they were read."""
+
+    def __init__(self, conflicts: list[Conflict]) -> None:
+        """Keep both versions of each file for the reply."""
+        names = ', '.join(conflict.name for conflict in conflicts)
+        super().__init__(
+            errors.Code.conflict,
+            errors.Verdict.not_run,
+            f'{names}: changed by another edit since it was read',
+        )
+        self.conflicts = conflicts
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """The document that holds an edit, and whether it is to be written."""
+
+    document: documents.Document
+    write: bool
+
+
+def plan(
+    stored: documents.Document,
+    held: holder.Holder,
+    edit: Edit,
+    bounds: documents.Bounds,
+) -> Plan:
+    """Decide what to do for an edit when the platform holds `stored`.
+
+    An edit that is already part of the document is not applied again; the
+    document is then written only if the platform has lost it. Raises the
+    errors of `apply`, and `key_reused` for an id with another content.
+    """
+    target = held.target(stored)
+    for applied in target.history.values():
+        if applied.edit == edit.edit:
+            _check_reuse(applied, edit)
+            return Plan(target, target.number != stored.number)
+    return Plan(apply(target, edit, bounds), write=True)
+
+
+def apply(
+    document: documents.Document,
+    edit: Edit,
+    bounds: documents.Bounds,
+) -> documents.Document:
+    """Return the document after an edit.
+
+    Raises `bad_request` for a malformed edit, `too_large` beyond the bounds,
+    `rules` for wrong content and `conflict` when a file has changed since
+    it was read.
+    """
+    check(edit, bounds)
+    _check_age(document, edit)
+    _check_bases(document, edit)
+    digest = _digest(edit)
+    number = documents.next_number(document.number, edit.edit, digest)
+    files = dict(document.files)
+    for change in edit.files:
+        files.pop(change.name, None)
+        if change.text is not None:
+            files[change.name] = documents.RuleFile(change.text, number)
+    changed_names = {change.name for change in edit.files}
+    changed = documents.Document(
+        number,
+        files,
+        conflicts={
+            name: lost
+            for name, lost in document.conflicts.items()
+            if name not in changed_names
+        },
+    )
+    history = dict(document.history)
+    history[number] = documents.Applied(edit.edit, digest)
+    changed = documents.remember(
+        changed,
+        history,
+        document.floor,
+        bounds.history,
+    )
+    _check_result(changed, bounds)
+    return changed
+
+
+def check(edit: Edit, bounds: documents.Bounds) -> None:
+    """Check the form of an edit; raise `bad_request` or `too_large`."""
+    if not _EDIT_ID.fullmatch(edit.edit):
+        raise _bad('edit: expected an id of 1 to 64 letters')
+    names = [change.name for change in edit.files]
+    if not names or len(set(names)) < len(names):
+        raise _bad('files: expected each file once, and at least one')
+    for change in edit.files:
+        _check_change(change, bounds)
+
+
+def _check_change(change: FileEdit, bounds: documents.Bounds) -> None:
+    if not _FILE_NAME.fullmatch(change.name):
+        raise _bad(f'{change.name!r}: expected a file name like 10-a.ini')
+    if change.text is None:
+        if not change.base:
+            raise _bad(f'{change.name}: a removal needs its base number')
+    elif len(change.text.encode()) > bounds.file:
+        raise errors.refusal(
+            errors.Code.too_large,
+            f'{change.name}: over {bounds.file} bytes',
+        )
+
+
+def _check_age(document: documents.Document, edit: Edit) -> None:
+    if document.floor > edit.read:
+        # The id may be one of those dropped from the history.
+        raise errors.uncertain(
+            errors.Code.conflict,
+            'the document was read too long ago to tell whether this edit '
+            'was applied; read it again and use a new edit id',
+        )
+
+
+def _check_bases(document: documents.Document, edit: Edit) -> None:
+    conflicts = []
+    for change in edit.files:
+        known = document.files.get(change.name)
+        number = known.number if known else ids.ConfigNumber(0)
+        if number != change.base:
+            conflicts.append(
+                Conflict(
+                    change.name,
+                    change.base,
+                    number,
+                    change.text,
+                    known.text if known else None,
+                ),
+            )
+    if conflicts:
+        raise ConflictError(conflicts)
+
+
+def _check_result(
+    changed: documents.Document,
+    bounds: documents.Bounds,
+) -> None:
+    if len(changed.files) > bounds.files:
+        raise errors.refusal(
+            errors.Code.too_large,
+            f'{len(changed.files)} files, {bounds.files} allowed',
+        )
+    rules.merge(changed.texts())
+    size = len(documents.encode(changed))
+    if size > bounds.document:
+        raise errors.refusal(
+            errors.Code.too_large,
+            f'the document has {size} bytes, {bounds.document} allowed',
+        )
+
+
+def _check_reuse(applied: documents.Applied, edit: Edit) -> None:
+    if applied.digest != _digest(edit):
+        raise errors.refusal(
+            errors.Code.key_reused,
+            'the edit id was used with another content',
+        )
+
+
+def _digest(edit: Edit) -> str:
+    ordered = sorted(edit.files, key=lambda change: change.name)
+    content = msgspec.json.encode(ordered)
+    return hashlib.sha256(content).hexdigest()[:_DIGEST_DIGITS]
+
+
+def _bad(message: str) -> errors.PoplardrumError:
+    return errors.refusal(errors.Code.bad_request, message)
--- a/src/poplardrum/operators/routes.py
+++ b/src/poplardrum/operators/routes.py
@@ -8,7 +8,7 @@
 
 from poplardrum import errors
 from poplardrum.callers import replies, requests
-from poplardrum.operators import document
+from poplardrum.operators import document, edits
 
 if typing.TYPE_CHECKING:
     from poplardrum.daemons import entry
@@ -37,6 +37,15 @@
     latency: list[dict[str, typing.Any]]
 
 
+class ConflictReply(msgspec.Struct, frozen=True):
+    """Body of a refused edit, with both versions of each file."""
+
+    code: str
+    verdict: str
+    message: str
+    conflicts: list[edits.Conflict]
+
+
 def routes(process: 'entry.Entry') -> list[web.RouteDef]:
     """Return the routes of the operators' interface."""
     operator = OperatorRoutes(process)
@@ -81,12 +90,14 @@
 
         try:
             self.authenticate(request)
-            edit = requests.read_json(await request.read(), document.Edit)
+            edit = requests.read_json(await request.read(), edits.Edit)
             changed = await configuration.edit(
                 self.process,
                 self.process.platform,
                 edit,
             )
+        except edits.ConflictError as conflict:
+            return _conflict(conflict)
         except errors.PoplardrumError as error:
             return replies.from_error(error)
         return web.Response(
@@ -141,3 +152,17 @@
                 ),
             )
         return found
+
+
+def _conflict(error: edits.ConflictError) -> web.Response:
+    body = ConflictReply(
+        code=error.code.value,
+        verdict=error.verdict.value,
+        message=error.message,
+        conflicts=error.conflicts,
+    )
+    return web.Response(
+        body=msgspec.json.encode(body),
+        status=replies.STATUS[error.code],
+        content_type='application/json',
+    )
--- a/src/poplardrum/settings.py
+++ b/src/poplardrum/settings.py
@@ -34,10 +34,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Platform:
-    """Address of the key-value service and its time limit in seconds."""
+    """The key-value service: time limits in seconds, calls a second."""
 
     address: ini.Address = _option(ini.address)
     timeout: float = _option(ini.duration, '2 s')
+    edit: float = _option(ini.duration, '10 s')
+    calls: float = _option(ini.positive, '50')
 
 
 @dataclasses.dataclass(frozen=True)
@@ -82,6 +84,10 @@
     deadline: float = _option(ini.duration, '60 s')
     drain: float = _option(ini.duration, '30 s')
     balancer: float = _option(ini.duration, '1 s')
+    config_files: int = _option(ini.integer, '1024')
+    config_file: int = _option(ini.size, '64 KB')
+    config_document: int = _option(ini.size, '900 KB')
+    config_history: int = _option(ini.integer, '512')
 
 
 @dataclasses.dataclass(frozen=True)
