--- a/src/poplardrum/daemons/agent.py
+++ b/src/poplardrum/daemons/agent.py
@@ -51,7 +51,7 @@
     def gauges(self) -> typing.Iterator[metrics.Gauge]:
         """Return present values for `/metrics`."""
         yield from super().gauges()
-        yield metrics.Gauge('running_tasks', len(self.worker.running))
+        yield metrics.Gauge('running_tasks', self.worker.slots.running)
         yield metrics.Gauge('running_jobs', len(self.coordinator.jobs))
 
     def observe(self, link: links.Link) -> None:
@@ -173,6 +173,7 @@
         platform = consul.ConsulStore(
             config.platform.address,
             config.platform.timeout,
+            config.platform.calls,
         )
         stack.push_async_callback(platform.close)
         process.platform_calls = platform.calls
