--- a/src/poplardrum/operators/document.py
+++ b/src/poplardrum/operators/document.py
@@ -35,15 +35,15 @@
     `history` holds the latest edits by the number each has made, so that an
     edit whose answer was lost is settled by reading, and so that a document
     tells which others it includes. `floor` is the highest number dropped
-    from the history. `conflicts` holds file versions that lost to another
-    one when two histories were joined.
+    from the history. `conflicts` holds the versions of a file that lost to
+    another one when two histories were joined, until the file is edited.
     """
 
     number: ids.ConfigNumber = ids.ConfigNumber(0)
     files: dict[str, RuleFile] = {}
     history: dict[ids.ConfigNumber, Applied] = {}
     floor: ids.ConfigNumber = ids.ConfigNumber(0)
-    conflicts: dict[str, RuleFile] = {}
+    conflicts: dict[str, list[RuleFile]] = {}
 
     def texts(self) -> dict[str, str]:
         """Return the text of each file."""
@@ -128,10 +128,10 @@
     """Return a document that includes both.
 
     That is one of them, unless each has edits that the other lacks, as
-    after a restore of the platform. A file that only one side changed is
-    taken from there; of a file that both changed, the version with the
-    higher number stays and the other is kept in `conflicts`. The same two
-    documents always give the same result.
+    after a restore of the platform. A version of a file stays unless the
+    other side has replaced it. Of several that stay, the one with the
+    highest number is in force and the others are kept in `conflicts`. The
+    same two documents always give the same result.
     """
     if includes(one, two):
         return one
@@ -155,48 +155,48 @@
 
 
 Files = dict[str, RuleFile]
+Conflicts = dict[str, list[RuleFile]]
 
 
 def _candidates(
     low: Document,
     high: Document,
-) -> typing.Iterator[tuple[Files, Files]]:
-    files: Files = {}
-    lost = {**low.conflicts, **high.conflicts}
-    for name in sorted({*low.files, *high.files}):
-        kept, loser = _resolve(low, high, name)
-        if kept:
-            files[name] = kept
-        if loser:
-            lost[name] = loser
-    yield files, lost
+) -> typing.Iterator[tuple[Files, Conflicts]]:
+    names = sorted(
+        {*low.files, *high.files, *low.conflicts, *high.conflicts},
+    )
+    remaining = {name: _remaining(low, high, name) for name in names}
+    newest = {name: kept[0] for name, kept in remaining.items() if kept}
+    yield newest, _others(remaining, newest)
     # The joined files contradict each other or are too large together.
-    differing = {
-        name: kept
-        for name, kept in low.files.items()
-        if high.files.get(name) != kept
-    }
-    yield high.files, {**lost, **differing}
+    yield high.files, _others(remaining, high.files)
     yield high.files, {}
 
 
-def _resolve(
-    low: Document,
-    high: Document,
-    name: str,
-) -> tuple[RuleFile | None, RuleFile | None]:
-    ours, theirs = high.files.get(name), low.files.get(name)
-    if ours is None or theirs is None:
-        present = ours or theirs
-        absent_in = low if theirs is None else high
-        if present and knows(absent_in, present.number):
-            return None, None
-        return present, None
-    if ours == theirs or knows(high, theirs.number):
-        return ours, None
-    if knows(low, ours.number):
-        return theirs, None
-    return max((ours, theirs), key=_number), min((ours, theirs), key=_number)
+def _remaining(low: Document, high: Document, name: str) -> list[RuleFile]:
+    ours, theirs = versions(high, name), versions(low, name)
+    found = [kept for kept in ours if kept in theirs]
+    found += [kept for kept in ours if not knows(low, kept.number)]
+    found += [kept for kept in theirs if not knows(high, kept.number)]
+    by_text = {kept.text: kept for kept in sorted(found, key=_number)}
+    return sorted(by_text.values(), key=_number, reverse=True)
+
+
+def versions(document: Document, name: str) -> list[RuleFile]:
+    """Return the version in force of a file and those in conflict."""
+    kept = document.files.get(name)
+    return [*([kept] if kept else []), *document.conflicts.get(name, [])]
+
+
+def _others(
+    remaining: typing.Mapping[str, list[RuleFile]],
+    files: Files,
+) -> Conflicts:
+    lost = {
+        name: [kept for kept in found if kept != files.get(name)]
+        for name, found in remaining.items()
+    }
+    return {name: found for name, found in lost.items() if found}
 
 
 def _number(kept: RuleFile) -> ids.ConfigNumber:
