Apply a folder of rule files and show who runs by it

Operators had to build edits by hand. `config apply` compares the folder with what is stored, sends one edit and waits until each process reports the number; the base numbers and an unsettled edit are kept in the folder, so a change by somebody else is a conflict that shows both versions, and an edit without an answer is sent again by its id. Entries now keep links to each other, since an entry could not tell the numbers of the others.

An edit that came while calls to the platform were held back after a fault was refused although the platform was back; it now waits for the next call.

--- a/src/poplardrum/cli.py
+++ b/src/poplardrum/cli.py
@@ -7,7 +7,7 @@
 
 import cappa
 
-from poplardrum import VERSION, errors
+from poplardrum import VERSION, cli_config, errors
 
 USAGE_EXIT: typing.Final = 2
 FAILURE_EXIT: typing.Final = 1
@@ -113,7 +113,11 @@
     """The program and its commands."""
 
     command: cappa.Subcommands[
-        EntryCommand | AgentCommand | StandInCommand | VersionCommand
+        EntryCommand
+        | AgentCommand
+        | cli_config.ConfigCommand
+        | StandInCommand
+        | VersionCommand
     ]
 
 
--- /dev/null
+++ b/src/poplardrum/commands/config.py
@@ -0,0 +1,267 @@
+"""Check, apply and show the configuration."""
+
+import asyncio
+import difflib
+import enum
+import pathlib
+import sys
+import time
+import typing
+
+import aiohttp
+import msgspec
+
+from poplardrum import errors, ids
+from poplardrum.operators import client, document, edits, folder, routes
+
+_POLL_SECONDS: typing.Final = 0.2
+_GONE: typing.Final = 'gone'
+_UNREACHABLE: typing.Final = frozenset(
+    (errors.Code.unavailable, errors.Code.platform),
+)
+
+
+class Exit(enum.IntEnum):
+    """Exit codes of the commands under `config`."""
+
+    done = 0
+    refused = 1
+    wrong_input = 2
+    not_everywhere = 3
+    conflict = 4
+    unknown = 5
+
+
+class Target(typing.NamedTuple):
+    """The entry to call, its token and how long to wait, in seconds."""
+
+    entry: str
+    token: str
+    wait: float = 30.0
+
+
+def check(path: pathlib.Path) -> int:
+    """Check a folder; raise `rules` with file and line."""
+    files = folder.read(path, document.Bounds())
+    print(f'{len(files)} files are correct')
+    return Exit.done
+
+
+def show(target: Target) -> int:
+    """Print the stored files with their numbers."""
+    return asyncio.run(_with_client(target, _show))
+
+
+def status(target: Target) -> int:
+    """Print the number that each process runs by."""
+    return asyncio.run(_with_client(target, _status))
+
+
+def apply(path: pathlib.Path, target: Target, base: int | None) -> int:
+    """Make a folder the truth and wait until it is in force everywhere."""
+
+    async def run(operator: client.OperatorClient) -> int:
+        return await Apply(path, operator, target.wait).run(base)
+
+    return asyncio.run(_with_client(target, run))
+
+
+async def _with_client(
+    target: Target,
+    work: typing.Callable[[client.OperatorClient], typing.Awaitable[int]],
+) -> int:
+    async with aiohttp.ClientSession() as session:
+        operator = client.OperatorClient(session, target.entry, target.token)
+        try:
+            return await work(operator)
+        except edits.ConflictError as conflict:
+            _print_conflicts(conflict.conflicts)
+            return Exit.conflict
+        except errors.PoplardrumError as error:
+            print(f'poplardrum: {error.message}', file=sys.stderr)
+            return _exit_code(error)
+
+
+def _exit_code(error: errors.PoplardrumError) -> int:
+    if error.verdict is not errors.Verdict.not_run:
+        return Exit.unknown
+    if error.code is errors.Code.conflict:
+        return Exit.conflict
+    wrong = {errors.Code.rules, errors.Code.settings, errors.Code.too_large}
+    return Exit.wrong_input if error.code in wrong else Exit.refused
+
+
+async def _show(operator: client.OperatorClient) -> int:
+    stored = await operator.show()
+    print(f'# number {stored.number}')
+    for name, kept in sorted(stored.files.items()):
+        print(f'# file {name}, changed by {kept.number}\n{kept.text}')
+    for name, lost in sorted(stored.conflicts.items()):
+        for version in lost:
+            print(f'# NOT in force: {name}, changed by {version.number}')
+            print(version.text)
+    return Exit.done
+
+
+async def _status(operator: client.OperatorClient) -> int:
+    found = await operator.status()
+    print(f'{found.entry} runs by {found.config}')
+    _print_members(found.members)
+    return Exit.done
+
+
+def _is_late(member: routes.MemberStatus, number: ids.ConfigNumber) -> bool:
+    return not member.linked or member.config < number
+
+
+def _print_members(members: list[routes.MemberStatus]) -> None:
+    for member in sorted(members, key=lambda item: item.id):
+        number = str(member.config) if member.linked else 'not linked'
+        print(f'{member.id:24} {member.role:6} {member.state:8} {number}')
+
+
+def _print_conflicts(conflicts: list[edits.Conflict]) -> None:
+    for conflict in conflicts:
+        print(f'conflict: {conflict.name} has changed since it was read')
+        print(f'  read at number {conflict.base}, now {conflict.number}')
+        lines = difflib.unified_diff(
+            _lines(conflict.theirs),
+            _lines(conflict.yours),
+            f'{conflict.name} (stored)',
+            f'{conflict.name} (yours)',
+            n=1_000_000,
+            lineterm='',
+        )
+        print('\n'.join(lines))
+
+
+def _lines(text: str | None) -> list[str]:
+    return ['(no such file)'] if text is None else text.split('\n')
+
+
+class Apply:
+    """One run of `config apply`."""
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        operator: client.OperatorClient,
+        wait: float,
+    ) -> None:
+        """Check the folder; raise `rules` before anything is sent."""
+        self.path = path
+        self.operator = operator
+        self.deadline = time.monotonic() + wait
+        self.files = folder.read(path, document.Bounds())
+        self.base = folder.read_base(path)
+
+    async def run(self, read: int | None) -> int:
+        """Send the changes as one edit and wait; return the exit code."""
+        await self._settle()
+        stored = await self.operator.show()
+        known = dict(self.base.files)
+        if read is not None:
+            known = _read_numbers(stored, read)
+        comparison = folder.compare(self.files, stored, known)
+        if comparison.conflicts:
+            _print_conflicts(comparison.conflicts)
+            print(f'after a merge, apply with --base {stored.number}')
+            return Exit.conflict
+        if comparison.changes:
+            _print_changes(comparison.changes)
+            edit = edits.Edit(ids.new_edit(), comparison.changes, stored.number)
+            stored = await self._send(edit)
+        else:
+            print('nothing to change')
+        self._keep(folder.Base(folder.bases(self.files, stored)))
+        return await self._wait(stored.number)
+
+    async def _settle(self) -> None:
+        """Learn the outcome of an edit that an earlier run has sent."""
+        pending = self.base.pending
+        if pending is None:
+            return
+        print(f'edit {pending.edit} of an earlier run is sent again')
+        try:
+            stored = await self._send(pending)
+        except errors.PoplardrumError as error:
+            if error.code in _UNREACHABLE:
+                raise
+            # Whatever became of it, the files are compared again.
+            return
+        files = dict(self.base.files)
+        for change in pending.files:
+            files.pop(change.name, None)
+            kept = stored.files.get(change.name)
+            if kept and kept.text == change.text:
+                files[change.name] = kept.number
+        self._keep(folder.Base(files))
+
+    async def _send(self, edit: edits.Edit) -> document.Document:
+        # An earlier send may take effect, so its outcome stays unknown.
+        uncertain = self.base.pending is not None
+        self._keep(msgspec.structs.replace(self.base, pending=edit))
+        while True:
+            try:
+                return await self.operator.edit(edit)
+            except errors.PoplardrumError as error:
+                uncertain = self._after(error, uncertain=uncertain)
+            await asyncio.sleep(_POLL_SECONDS)
+
+    def _after(
+        self,
+        error: errors.PoplardrumError,
+        *,
+        uncertain: bool,
+    ) -> bool:
+        """Raise the final error of an edit, or return if it is uncertain."""
+        if error.code not in _UNREACHABLE:
+            self._keep(msgspec.structs.replace(self.base, pending=None))
+            raise error
+        if not uncertain and error.verdict is errors.Verdict.not_run:
+            self._keep(msgspec.structs.replace(self.base, pending=None))
+            raise error
+        if time.monotonic() < self.deadline:
+            return True
+        error.verdict = errors.Verdict.may_have_run
+        raise error
+
+    def _keep(self, base: folder.Base) -> None:
+        self.base = base
+        folder.write_base(self.path, base)
+
+    async def _wait(self, number: ids.ConfigNumber) -> int:
+        """Wait until all processes report the number, and print theirs."""
+        while True:
+            found = await self.operator.status()
+            members = [row for row in found.members if row.state != _GONE]
+            late = [
+                row for row in members if not row.linked or row.config < number
+            ]
+            if not late or time.monotonic() > self.deadline:
+                break
+            await asyncio.sleep(_POLL_SECONDS)
+        _print_members(members)
+        if late:
+            print(f'{number} is accepted, {len(late)} processes lack it')
+            return Exit.not_everywhere
+        print(f'{number} is in force at {len(members)} processes')
+        return Exit.done
+
+
+def _read_numbers(
+    stored: document.Document,
+    read: int,
+) -> dict[str, ids.ConfigNumber]:
+    if stored.number != read:
+        raise errors.refusal(
+            errors.Code.conflict,
+            f'--base {read}: the number is {stored.number} now',
+        )
+    return {name: kept.number for name, kept in stored.files.items()}
+
+
+def _print_changes(changes: list[edits.FileEdit]) -> None:
+    for change in changes:
+        verb = 'change' if change.base else 'add'
+        print(f'{"remove" if change.text is None else verb} {change.name}')
--- a/src/poplardrum/daemons/configuration.py
+++ b/src/poplardrum/daemons/configuration.py
@@ -260,7 +260,8 @@
         try:
             stored = await read(self.platform)
         except errors.PoplardrumError as error:
-            if self.unsettled is None:
+            held_back = error.retry_after is not None
+            if self.unsettled is None and not held_back:
                 raise
             logger.warning('configuration edit: %s', error.message)
             return None
--- a/src/poplardrum/daemons/entry.py
+++ b/src/poplardrum/daemons/entry.py
@@ -45,7 +45,7 @@
         configuration.offer(self, link)
 
     def member_seen(self, member: messages.Member) -> None:
-        """Keep links to all agents and tell the peers about changes."""
+        """Keep links to all processes and tell the peers about changes."""
         changed = self.view.merge([member])
         for newer in changed:
             self._follow(newer)
@@ -88,8 +88,6 @@
                     await asyncio.sleep(_TICK_SECONDS)
 
     def _follow(self, member: messages.Member) -> None:
-        if member.role is not messages.Role.agent:
-            return
         link = self.link_to(member.id)
         if link and link.member.incarnation == member.incarnation:
             link.member = member
--- /dev/null
+++ b/src/poplardrum/operators/client.py
@@ -0,0 +1,108 @@
+"""HTTP client of the operators' interface."""
+
+import asyncio
+import typing
+
+import aiohttp
+import msgspec
+
+from poplardrum import errors, ini
+from poplardrum.operators import document, edits, routes
+
+_TIMEOUT_SECONDS: typing.Final = 30.0
+_OK: typing.Final = 200
+
+_Body = typing.TypeVar('_Body')
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Body of a reply that is not the wanted one."""
+
+    code: errors.Code
+    verdict: errors.Verdict
+    message: str = ''
+    conflicts: list[edits.Conflict] = []
+
+
+class OperatorClient:
+    """Call one entry; every failure is raised with code and verdict."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        token: str,
+    ) -> None:
+        """Use the entry at `address` (IP:port); raise `settings`."""
+        try:
+            ini.address(address)
+        except ValueError as error:
+            raise errors.refusal(
+                errors.Code.settings,
+                f'--entry: {error}',
+            ) from None
+        self.session = session
+        self.base = f'http://{address}/v1/operator'
+        self.headers = {'Authorization': f'Bearer {token}'}
+
+    async def show(self) -> document.Document:
+        """Return the document in force at the entry."""
+        data = await self._call('GET', 'config')
+        return _decoded(data, document.Document)
+
+    async def status(self) -> routes.Status:
+        """Return the members with their configuration numbers."""
+        return _decoded(await self._call('GET', 'status'), routes.Status)
+
+    async def edit(self, edit: edits.Edit) -> document.Document:
+        """Send an edit; return the document that holds it."""
+        data = await self._call('POST', 'config', msgspec.json.encode(edit))
+        return _decoded(data, document.Document)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+    ) -> bytes:
+        try:
+            async with self.session.request(
+                method,
+                f'{self.base}/{path}',
+                data=body,
+                headers=self.headers,
+                timeout=aiohttp.ClientTimeout(total=_TIMEOUT_SECONDS),
+            ) as response:
+                reply = await response.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise _unanswered(error, wrote=body is not None) from None
+        if response.status != _OK:
+            raise _refused(_decoded(reply, Refusal))
+        return reply
+
+
+def _decoded(data: bytes, kind: type[_Body]) -> _Body:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.DecodeError as error:
+        raise errors.uncertain(
+            errors.Code.unavailable,
+            f'unreadable reply of the entry: {error}',
+        ) from None
+
+
+def _refused(refusal: Refusal) -> errors.PoplardrumError:
+    if refusal.conflicts:
+        return edits.ConflictError(refusal.conflicts)
+    return errors.PoplardrumError(
+        refusal.code,
+        refusal.verdict,
+        refusal.message,
+    )
+
+
+def _unanswered(error: Exception, *, wrote: bool) -> errors.PoplardrumError:
+    message = f'no answer of the entry: {error!r}'
+    if wrote and not isinstance(error, aiohttp.ClientConnectorError):
+        return errors.uncertain(errors.Code.unavailable, message)
+    return errors.refusal(errors.Code.unavailable, message)
