--- a/src/poplardrum/cli.py
+++ b/src/poplardrum/cli.py
@@ -7,7 +7,7 @@
 
 import cappa
 
-from poplardrum import VERSION, errors
+from poplardrum import VERSION, cli_config, errors
 
 USAGE_EXIT: typing.Final = 2
 FAILURE_EXIT: typing.Final = 1
@@ -189,6 +189,7 @@
         | SubmitCommand
         | StatusCommand
         | DemoCommand
+        | cli_config.ConfigCommand
         | VersionCommand
     ]
 
