Test the command line and the submitting client

The client counts a try that could not connect as not sent, so the next one is still the first attempt and a later refusal is still certain.

--- a/src/poplardrum/callers/client.py
+++ b/src/poplardrum/callers/client.py
@@ -31,12 +31,16 @@
 
 
 class Try(typing.NamedTuple):
-    """Outcome of one try: a reply, or why none came."""
+    """Outcome of one try: a reply, or why none came.
+
+    `sent` is false when no connection was made, so nothing left the client.
+    """
 
     entry: str
     status: int
     body: bodies.JobReplyBody | None
     problem: str = ''
+    sent: bool = True
 
 
 async def submit(
@@ -46,7 +50,7 @@
 ) -> list[Try]:
     """Submit until a reply is final; return all tries in their order.
 
-    Only the first try is marked first. A reply with a time to come back is
+    Only the first try that was sent is marked first. A reply with a time to come back is
     repeated after that time at the next entry; so is a try that broke, as
     the key keeps it from starting anything twice.
     """
@@ -56,9 +60,8 @@
     ) as session:
         while len(tries) < target.attempts:
             entry = target.entries[len(tries) % len(target.entries)]
-            tries.append(
-                await _post(session, target, entry, content, not tries),
-            )
+            first = not any(attempt.sent for attempt in tries)
+            tries.append(await _post(session, target, entry, content, first))
             wait = wait_before_next(tries[-1].body)
             if wait is None:
                 break
@@ -103,6 +106,8 @@
                 type=bodies.JobReplyBody,
             )
             return Try(entry, response.status, body)
+    except aiohttp.ClientConnectorError as error:
+        return Try(entry, 0, None, str(error), sent=False)
     except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
         return Try(entry, 0, None, repr(error))
     except msgspec.DecodeError as error:
--- a/src/poplardrum/commands/jobs.py
+++ b/src/poplardrum/commands/jobs.py
@@ -73,16 +73,17 @@
 def exit_code(tries: list[client.Try]) -> int:
     """Return 0 for a complete answer, 3 if nothing has run, else 1.
 
-    A try without a reply may have run, so a refusal is believed only when
-    it is the last word and no earlier try was left open.
+    A try that was sent and got no reply may have run, so a later refusal
+    says nothing about it.
     """
     body = tries[-1].body
     if body is None:
-        return FAILED_EXIT
+        sent = any(attempt.sent for attempt in tries)
+        return FAILED_EXIT if sent else REFUSED_EXIT
     if body.state != 'failed':
         return COMPLETE_EXIT
     refused = body.verdict == errors.Verdict.not_run.value and not body.tasks
-    certain = all(attempt.body is not None for attempt in tries)
+    certain = all(attempt.body or not attempt.sent for attempt in tries)
     return REFUSED_EXIT if refused and certain else FAILED_EXIT
 
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,170 @@
+"""The command line as an operator and a caller use it."""
+
+import contextlib
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import typing
+import unittest
+
+from poplardrum.commands import status, tables
+from poplardrum.standins import data, fleet, ports
+
+MEMBER: typing.Final = {
+    'id': 'agent-0',
+    'role': 'agent',
+    'region': 'great-lakes',
+    'zone': 'erie',
+    'state': 'ready',
+    'linked': True,
+    'config': 4,
+    'slots': 8,
+    'free': 2,
+    'queued': 0,
+    'speed': 1.0,
+    'silent_s': 0.1,
+    'ejected_by': [],
+}
+STATUS: typing.Final[dict[str, typing.Any]] = {
+    'entry': 'entry-0',
+    'state': 'ready',
+    'config': 4,
+    'requests': 0,
+    'members': [MEMBER],
+    'tenants': [],
+    'latency': [],
+}
+ATTENTION: typing.Final[tuple[tuple[dict[str, typing.Any], str], ...]] = (
+    ({'linked': False}, 'agent-0: no link'),
+    ({'slots': 0}, 'agent-0: no endpoint'),
+    ({'state': 'leaving'}, 'agent-0: leaving'),
+    ({'ejected_by': ['agent-1']}, 'agent-0: ejected by 1 coordinators'),
+)
+# Arguments, exit code and what standard error says.
+USAGE: typing.Final[tuple[tuple[list[str], int, str], ...]] = (
+    (['version'], 0, ''),
+    ([], 2, ''),
+    (['nothing'], 2, ''),
+    (['entry'], 2, '--settings'),
+    (['entry', '--settings', '/nonexistent'], 2, '/nonexistent'),
+    (['agent', '--settings', '/nonexistent'], 2, '/nonexistent'),
+    (
+        ['submit', '/nonexistent', '--entry', 'x', '--credential-file', 'y'],
+        2,
+        'y: cannot be read',
+    ),
+    (['status', '--entry', '127.0.0.1:1', '--token', 'x'], 1, '127.0.0.1:1'),
+)
+
+
+def run(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run the program."""
+    return subprocess.run(
+        [sys.executable, '-m', 'poplardrum', *arguments],
+        capture_output=True,
+        text=True,
+        check=False,
+        env={**os.environ, 'COLUMNS': '200'},
+    )
+
+
+class UsageTest(unittest.TestCase):
+    """Guards against wrong arguments that end in 0 or a stack trace."""
+
+    def test_usage(self) -> None:
+        """Guards against an exit code that scripts misread."""
+        for arguments, code, expected in USAGE:
+            with self.subTest(arguments):
+                done = run(*arguments)
+                self.assertEqual(done.returncode, code, done.stderr)
+                self.assertIn(expected, done.stderr + done.stdout)
+                self.assertNotIn('Traceback', done.stderr)
+
+    def test_settings_error(self) -> None:
+        """Guards against a process that starts on wrong settings."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'agent.ini'
+            path.write_text('[process]\nid = a b\n')
+            done = run('agent', '--settings', str(path))
+        self.assertEqual(done.returncode, 2)
+        self.assertIn('agent.ini:2: [process] id', done.stderr)
+
+
+class StatusTest(unittest.TestCase):
+    """Guards against trouble that the status does not show."""
+
+    def test_healthy(self) -> None:
+        """Guards against warnings about a healthy system."""
+        self.assertEqual(status.warnings(STATUS), [])
+        self.assertIn('agent-0', status.as_text(STATUS))
+
+    def test_attention(self) -> None:
+        """Guards against a member that takes no work unnoticed."""
+        for change, expected in ATTENTION:
+            with self.subTest(expected):
+                row = {**MEMBER, **change}
+                found = status.warnings({**STATUS, 'members': [row]})
+                self.assertEqual(found, [expected])
+
+    def test_configuration_behind(self) -> None:
+        """Guards against a process that runs by an older configuration."""
+        rows = [MEMBER, {**MEMBER, 'id': 'agent-1', 'config': 3}]
+        found = status.warnings({**STATUS, 'members': rows})
+        self.assertEqual(found, ['agent-1: configuration behind 4'])
+
+    def test_table(self) -> None:
+        """Guards against columns that do not stand under each other."""
+        text = tables.table(('name', 'n'), [('a', 12), ('long name', 3)])
+        self.assertEqual(text, 'name       n\na          12\nlong name   3')
+
+
+class SystemTest(unittest.TestCase):
+    """Guards against commands that work only in parts."""
+
+    def test_submit_and_status(self) -> None:
+        """Guards against a repeat through a dead entry that fails."""
+        with contextlib.ExitStack() as stack:
+            folder = pathlib.Path(
+                stack.enter_context(tempfile.TemporaryDirectory()),
+            )
+            system = fleet.Fleet(
+                fleet.Plan((fleet.WorkerPlan(),), entries=1),
+                folder,
+            )
+            stack.callback(system.stop)
+            system.start(data.rules())
+            credential = folder / 'credential'
+            credential.write_text('harbor-freight-demo\n')
+            dead = ports.free_ports(1)[0]
+            entry = system.entry_addresses[0]
+            submit = [
+                'submit',
+                str(data.JOB),
+                '--entry',
+                f'127.0.0.1:{dead},{entry}',
+                '--credential-file',
+                str(credential),
+            ]
+            # A key that no entry accepts is refused as not run.
+            refused = run(*submit[:3], entry, *submit[4:], '--key', 'a b')
+            self.assertEqual(refused.returncode, 3, refused.stdout)
+            done = run(*submit, '--key', 'k', '--json')
+            self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+            answer = json.loads(done.stdout)
+            self.assertEqual(len(answer['tasks']), 40)
+            table = run(*submit, '--key', 'k')
+            self.assertIn('state complete, verdict ran', table.stdout)
+            shown = run('status', '--entry', entry, '--token', fleet.TOKEN)
+            self.assertEqual(shown.returncode, 0, shown.stdout)
+            self.assertIn('harbor-freight', shown.stdout)
+            wrong = run('status', '--entry', entry, '--token', 'wrong')
+            self.assertEqual(wrong.returncode, 1)
+
+    def test_demo(self) -> None:
+        """Guards against a demo that fails or starts a task twice."""
+        done = run('demo')
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+        self.assertIn('starts per task', done.stdout)
