Start daemons without the command line's libraries

cappa and rich were imported by every daemon. The program starts through start.py, which hands everything but a plain daemon start to cappa.

--- /dev/null
+++ b/bench/cost_memory.py
@@ -0,0 +1,71 @@
+"""Peak memory of each role on a running system after a burst of jobs."""
+
+import concurrent.futures
+import itertools
+import pathlib
+import tempfile
+import typing
+
+from bench import figures
+from poplardrum.standins import data, fleet, http
+
+_JOBS: typing.Final = 40
+_CREDENTIAL: typing.Final = 'harbor-freight-demo'
+_BUDGET_MB: typing.Final = 64
+
+
+def peak_mb(process: fleet.Process) -> float:
+    """Return the highest resident size of a process (VmHWM) in MB."""
+    return figures.status_kb(process.running.pid, 'VmHWM') / 1024
+
+
+def submit(address: str, content: bytes) -> int:
+    """Submit one job under a new key and return the HTTP status."""
+    status, _ = http.call_bytes(
+        'POST',
+        f'http://{address}/v1/jobs',
+        content,
+        {'Authorization': f'Bearer {_CREDENTIAL}'},
+    )
+    return status
+
+
+def main() -> list[figures.Figure]:
+    """Run the burst and return the peak of each role."""
+    with tempfile.TemporaryDirectory() as folder:
+        system = fleet.Fleet(
+            fleet.Plan((fleet.WorkerPlan(speed=8),) * 3),
+            pathlib.Path(folder),
+        )
+        try:
+            system.start(data.rules())
+            return measure(system)
+        finally:
+            system.stop()
+
+
+def measure(system: fleet.Fleet) -> list[figures.Figure]:
+    """Return the peaks before and after the burst."""
+    idle = [peak_mb(system.entries[0]), peak_mb(system.agents[0])]
+    with concurrent.futures.ThreadPoolExecutor(8) as pool:
+        statuses = list(
+            pool.map(
+                submit,
+                itertools.cycle(system.entry_addresses),
+                itertools.repeat(data.job(), _JOBS),
+            ),
+        )
+    entry = max(peak_mb(process) for process in system.entries)
+    agent = max(peak_mb(process) for process in system.agents)
+    complete = sum(status == 200 for status in statuses)
+    return [
+        figures.at_most('memory.entry_idle_peak', idle[0], 'MB', _BUDGET_MB),
+        figures.at_most('memory.agent_idle_peak', idle[1], 'MB', _BUDGET_MB),
+        figures.at_most('memory.entry_burst_peak', entry, 'MB', _BUDGET_MB),
+        figures.at_most('memory.agent_burst_peak', agent, 'MB', _BUDGET_MB),
+        figures.at_least('memory.jobs_complete', complete, 'jobs', _JOBS),
+    ]
+
+
+if __name__ == '__main__':
+    figures.show(main())
--- /dev/null
+++ b/bench/figures.py
@@ -0,0 +1,89 @@
+"""Lines of results, and readings of processes from /proc and /metrics."""
+
+import os
+import pathlib
+import typing
+
+from poplardrum.standins import http
+
+_TICKS: typing.Final = os.sysconf('SC_CLK_TCK')
+# Fields of /proc/PID/stat after the command's closing parenthesis.
+_USER_TICKS: typing.Final = 11
+_SYSTEM_TICKS: typing.Final = 12
+
+
+class Figure(typing.NamedTuple):
+    """One measured value; `bound` is `None` for values without a target."""
+
+    name: str
+    value: float
+    unit: str
+    bound: float | None = None
+    holds: bool = True
+
+    def line(self) -> str:
+        """Return `name value unit bound ok|short`."""
+        bound = '-' if self.bound is None else f'{self.bound:g}'
+        verdict = 'ok' if self.holds else 'short'
+        return f'{self.name} {self.value:.4g} {self.unit} {bound} {verdict}'
+
+
+def at_most(name: str, value: float, unit: str, bound: float) -> Figure:
+    """Return a figure whose value must not exceed its bound."""
+    return Figure(name, value, unit, bound, value <= bound)
+
+
+def at_least(name: str, value: float, unit: str, bound: float) -> Figure:
+    """Return a figure whose value must reach its bound."""
+    return Figure(name, value, unit, bound, value >= bound)
+
+
+def plain(name: str, value: float, unit: str) -> Figure:
+    """Return a figure without a target."""
+    return Figure(name, value, unit)
+
+
+def show(found: typing.Iterable[Figure]) -> bool:
+    """Print figures and return whether all of them hold."""
+    rows = list(found)
+    for row in rows:
+        print(row.line(), flush=True)
+    return all(row.holds for row in rows)
+
+
+def quantile(values: typing.Sequence[float], share: float) -> float:
+    """Return the value below which `share` of the values lie."""
+    ordered = sorted(values)
+    if not ordered:
+        return float('nan')
+    return ordered[min(int(share * len(ordered)), len(ordered) - 1)]
+
+
+def status_kb(pid: int, field: str) -> int:
+    """Return a field of /proc/PID/status in KB."""
+    text = pathlib.Path(f'/proc/{pid}/status').read_text()
+    for line in text.splitlines():
+        if line.startswith(f'{field}:'):
+            return int(line.split()[1])
+    raise KeyError(field)
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time of a process in seconds."""
+    text = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    fields = text.rpartition(')')[2].split()
+    ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+    return ticks / _TICKS
+
+
+def counters(address: str) -> dict[str, float]:
+    """Return all counters at `/metrics`, labels summed by name."""
+    _, text = http.call('GET', f'http://{address}/metrics')
+    found: dict[str, float] = {}
+    for line in str(text).splitlines():
+        if line.startswith('#'):
+            continue
+        name, _, value = line.rpartition(' ')
+        name = name.partition('{')[0].removeprefix('poplardrum_')
+        found[name] = found.get(name, 0) + float(value)
+    return found
--- a/src/poplardrum/__main__.py
+++ b/src/poplardrum/__main__.py
@@ -1,6 +1,6 @@
 """Run the command line with `python -m poplardrum`."""
 
-from poplardrum import cli
+from poplardrum import start
 
 if __name__ == '__main__':
-    cli.main()
+    start.main()
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -63,7 +63,7 @@
                 '--site-packages',
                 folder,
                 '--entry-point',
-                'poplardrum.cli:main',
+                'poplardrum.start:main',
                 '--python',
                 '/usr/bin/env python3',
                 '--compressed',
