--- /dev/null
+++ b/bench/process_load.py
@@ -0,0 +1,117 @@
+"""Response times at 80% load on workers of three speeds.
+
+Run `python -m bench.process_load [POLICY ...] [--span SECONDS]`.
+"""
+
+import argparse
+import random
+import typing
+
+from bench import figures
+from bench import process_system as base
+from poplardrum.standins import fleet
+
+_SPEEDS: typing.Final = (0.5, 0.5, 0.5, 1, 1, 1, 1, 2, 2, 2)
+_SLOTS: typing.Final = 8
+_LOAD: typing.Final = 0.8
+_SPAN: typing.Final = 40.0
+_WARM_UP: typing.Final = 0.2
+_SEED: typing.Final = 7
+_P50_BOUND: typing.Final = 1.1
+_P99_BOUND: typing.Final = 1.5
+_WASTE_BOUND: typing.Final = 0.05
+
+
+def measure(policy: str, span: float) -> list[figures.Figure]:
+    """Run the load under one placement policy."""
+    slots = [speed for speed in _SPEEDS for _ in range(_SLOTS)]
+    power = sum(slots) * _LOAD
+    jobs = base.arrivals(random.Random(_SEED), power, span)
+    plan = fleet.Plan(
+        tuple(fleet.WorkerPlan(speed=speed) for speed in _SPEEDS),
+    )
+    with base.running(plan, base.rules(policy)) as system:
+        before = sums(system)
+        base.submit_all(system, jobs)
+        after = sums(system)
+    tasks = sum(len(job.tasks) for job in jobs)
+    name = f'load.{policy}'
+    return [
+        *response_times(name, jobs, slots, span),
+        figures.plain(
+            f'{name}.frames',
+            _per_task(before, after, 'frames_total', tasks),
+            'per_task',
+        ),
+        figures.at_most(
+            f'{name}.wasted',
+            _per_task(before, after, 'wasted_messages_total', tasks),
+            'per_task',
+            _WASTE_BOUND,
+        ),
+        figures.plain(f'{name}.tasks', tasks, 'tasks'),
+    ]
+
+
+def response_times(
+    name: str,
+    jobs: list[base.Job],
+    slots: list[float],
+    span: float,
+) -> list[figures.Figure]:
+    """Compare with a schedule that knows all, and with an empty fleet."""
+    planned = base.schedule(jobs, slots)
+    measured = [
+        (job, best)
+        for job, best in zip(jobs, planned, strict=True)
+        if job.arrival >= span * _WARM_UP and job.status == 200
+    ]
+    over = [job.seconds / best for job, best in measured]
+    alone = [
+        job.seconds / base.schedule([job], slots)[0] for job, _ in measured
+    ]
+    complete = sum(job.status == 200 for job in jobs) / len(jobs)
+    p50, p90, p99 = (figures.quantile(over, part) for part in (0.5, 0.9, 0.99))
+    return [
+        figures.at_most(f'{name}.p50', p50, 'ratio', _P50_BOUND),
+        figures.plain(f'{name}.p90', p90, 'ratio'),
+        figures.at_most(f'{name}.p99', p99, 'ratio', _P99_BOUND),
+        figures.plain(
+            f'{name}.p99_over_empty_fleet',
+            figures.quantile(alone, 0.99),
+            'ratio',
+        ),
+        figures.at_least(f'{name}.complete', complete, 'share', 1),
+    ]
+
+
+def sums(system: fleet.Fleet) -> dict[str, float]:
+    """Return the counters of all processes, added up."""
+    total: dict[str, float] = {}
+    for address in (*system.entry_addresses, *system.agent_addresses):
+        for name, value in figures.counters(address).items():
+            total[name] = total.get(name, 0) + value
+    return total
+
+
+def _per_task(
+    before: dict[str, float],
+    after: dict[str, float],
+    name: str,
+    tasks: int,
+) -> float:
+    return (after.get(name, 0) - before.get(name, 0)) / tasks
+
+
+def main() -> None:
+    """Measure the policies of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('policies', nargs='*', default=['late_binding'])
+    parser.add_argument('--span', type=float, default=_SPAN)
+    arguments = parser.parse_args()
+    for policy in arguments.policies:
+        figures.show(measure(policy, arguments.span))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/process_system.py
@@ -0,0 +1,204 @@
+"""A running system with callers, for measurements on processes."""
+
+import asyncio
+import contextlib
+import dataclasses
+import heapq
+import json
+import pathlib
+import random
+import tempfile
+import time
+import typing
+
+import aiohttp
+
+from poplardrum.standins import fleet
+
+TENANTS: typing.Final = ('harbor', 'depot', 'market')
+_TIMEOUT: typing.Final = 120
+_OK: typing.Final = 200
+# Shares of long jobs and long tasks in the load of the design page.
+_LONG_SHARE: typing.Final = 0.03
+_LONG_SECONDS: typing.Final = (2.0, 6.0)
+_SHORT_SECONDS: typing.Final = (0.05, 1.0)
+_MAX_TASKS: typing.Final = 200
+
+
+@dataclasses.dataclass
+class Job:
+    """One job; times in seconds, task times at speed 1."""
+
+    tenant: str
+    arrival: float
+    tasks: list[float]
+    entry: int = 0
+    status: int = 0
+    code: str = ''
+    seconds: float = 0
+    started: float = 0
+
+    @property
+    def work(self) -> float:
+        """Return the slot-seconds at speed 1."""
+        return sum(self.tasks)
+
+
+def rules(
+    policy: str = 'late_binding',
+    tenants: typing.Sequence[str] = TENANTS,
+) -> dict[str, str]:
+    """Return rule files; each tenant's credential is its name."""
+    texts = [fleet.tenant_rule(name, name) for name in tenants]
+    limits = 'max_jobs = 100000\nmax_tasks = 10000000\n'
+    return {
+        '10-tenants.ini': ''.join(f'{text}{limits}' for text in texts),
+        '20-placement.ini': f'[placement]\npolicy = {policy}\n',
+    }
+
+
+@contextlib.contextmanager
+def running(
+    plan: fleet.Plan,
+    texts: dict[str, str],
+) -> typing.Iterator[fleet.Fleet]:
+    """Start a system and stop it at the end."""
+    with tempfile.TemporaryDirectory() as folder:
+        system = fleet.Fleet(plan, pathlib.Path(folder))
+        try:
+            system.start(texts)
+            yield system
+        finally:
+            system.stop()
+
+
+def draw(choice: random.Random) -> list[float]:
+    """Draw the tasks of one job: 1 to 200 of mostly 50 ms to 1 s."""
+    low, high = _SHORT_SECONDS
+    if choice.random() < _LONG_SHARE:
+        return [choice.uniform(*_LONG_SECONDS)]
+    usual = low * (high / low) ** choice.random()
+    count = round(_MAX_TASKS ** choice.random())
+    return [
+        min(max(usual * choice.uniform(0.7, 1.3), low), high)
+        for _ in range(count)
+    ]
+
+
+def arrivals(
+    choice: random.Random,
+    power: float,
+    span: float,
+    tenants: typing.Sequence[str] = TENANTS,
+) -> list[Job]:
+    """Draw open arrivals that bring `power` slot-seconds a second."""
+    drawn: list[Job] = []
+    while sum(job.work for job in drawn) < power * span:
+        drawn.append(Job(choice.choice(tenants), 0, draw(choice)))
+    for job in drawn:
+        job.arrival = choice.uniform(0, span)
+        job.entry = choice.randrange(2)
+    return sorted(drawn, key=lambda job: job.arrival)
+
+
+def schedule(jobs: list[Job], speeds: typing.Sequence[float]) -> list[float]:
+    """Return each job's response time under a schedule that knows all.
+
+    Jobs come in their order, each with its longest task first at the slot
+    that ends it earliest; `speeds` holds the speed of each slot.
+    """
+    free: dict[float, list[float]] = {}
+    for speed in speeds:
+        free.setdefault(speed, []).append(0)
+    found = []
+    for job in jobs:
+        ends = [
+            place(free, job.arrival, seconds)
+            for seconds in sorted(job.tasks, reverse=True)
+        ]
+        found.append(max(ends) - job.arrival)
+    return found
+
+
+def place(
+    free: dict[float, list[float]],
+    arrival: float,
+    seconds: float,
+) -> float:
+    """Put one task on the slot that ends it earliest; return its end."""
+    end, speed = min(
+        (max(heap[0], arrival) + seconds / speed, speed)
+        for speed, heap in free.items()
+    )
+    heapq.heapreplace(free[speed], end)
+    return end
+
+
+class Callers:
+    """Submit jobs at their times and note how each one ends."""
+
+    def __init__(
+        self,
+        system: fleet.Fleet,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Submit to the entries of one system."""
+        self.system = system
+        self.session = session
+
+    async def run(self, jobs: typing.Sequence[Job]) -> None:
+        """Submit all jobs at their arrival times and wait for all ends."""
+        start = time.monotonic()
+        await asyncio.gather(*(self.submit(job, start) for job in jobs))
+
+    async def submit(self, job: Job, start: float) -> None:
+        """Submit one job as a first attempt at its arrival time."""
+        body = encode(job)
+        await asyncio.sleep(start + job.arrival - time.monotonic())
+        job.started = time.monotonic()
+        addresses = self.system.entry_addresses
+        address = addresses[job.entry % len(addresses)]
+        try:
+            async with self.session.post(
+                f'http://{address}/v1/jobs',
+                data=body,
+                headers={'Authorization': f'Bearer {job.tenant}'},
+            ) as response:
+                job.status = response.status
+                job.code = json.loads(await response.read())['code']
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            job.code = type(error).__name__
+        job.seconds = time.monotonic() - job.started
+
+
+def encode(job: Job) -> bytes:
+    """Return the request body of a job."""
+    tasks = [
+        {
+            'kind': 'weigh-in',
+            'payload': json.dumps({'seconds': seconds}),
+            'declared_ms': seconds * 1000,
+        }
+        for seconds in job.tasks
+    ]
+    return json.dumps({'tasks': tasks, 'deadline_ms': 60000}).encode()
+
+
+def submit_all(
+    system: fleet.Fleet,
+    jobs: typing.Sequence[Job],
+) -> list[Job]:
+    """Run all jobs and return those with a complete answer."""
+    asyncio.run(_submit_all(system, jobs))
+    return [job for job in jobs if job.status == _OK]
+
+
+async def _submit_all(
+    system: fleet.Fleet,
+    jobs: typing.Sequence[Job],
+) -> None:
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=_TIMEOUT),
+    ) as session:
+        await Callers(system, session).run(jobs)
--- a/src/poplardrum/standins/fleet.py
+++ b/src/poplardrum/standins/fleet.py
@@ -196,13 +196,18 @@
         """Start everything, apply the rules and wait until all is ready."""
         for process in reversed(self.all_processes()):
             process.start()
-        wait_until(
-            lambda: self.linked() == len(self.agents),
-            'all agents are linked',
-        )
+        wait_until(self.all_linked, 'all agents are linked')
         self.apply(rules)
         wait_until(self.ready, 'entries and agents are ready')
 
+    def all_linked(self) -> bool:
+        """Tell whether all agents are linked; raise if a process ended."""
+        for process in self.all_processes():
+            if process.running.poll() is not None:
+                lines = process.log.read_text(errors='replace').splitlines()
+                raise RuntimeError(f'{process.name} ended: {lines[-3:]}')
+        return self.linked() == len(self.agents)
+
     def stop(self) -> list[int]:
         """Stop everything gracefully and return the exit codes."""
         codes = [
--- a/src/poplardrum/standins/ports.py
+++ b/src/poplardrum/standins/ports.py
@@ -1,13 +1,31 @@
 """Free ports on the loopback interface."""
 
 import contextlib
+import random
 import socket
+import typing
+
+# Below the kernel's range for outgoing connections, which could take a port
+# between its choice here and its use by the process it is meant for.
+_LOWEST: typing.Final = 10_000
+_HIGHEST: typing.Final = 32_000
+_TRIES: typing.Final = 10_000
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that are free now; all are held until all are chosen."""
+    """Return ports that are free now; all are held until all are chosen.
+
+    Raises `OSError` when there are not enough.
+    """
+    choice = random.SystemRandom()
+    found: list[int] = []
     with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for unused in sockets:
-            unused.bind(('127.0.0.1', 0))
-        return [unused.getsockname()[1] for unused in sockets]
+        for _ in range(_TRIES):
+            if len(found) == count:
+                return found
+            port = choice.randrange(_LOWEST, _HIGHEST)
+            with contextlib.suppress(OSError):
+                unused = stack.enter_context(socket.socket())
+                unused.bind(('127.0.0.1', port))
+                found.append(port)
+    raise OSError(f'found {len(found)} of {count} free ports')
