Measure the cost of roles and links

docs/CAPACITY.md needs slopes with tasks, agents, tenants and records, and the choice of grpclib needs the cost of its alternative.

--- /dev/null
+++ b/bench/cost_links.py
@@ -0,0 +1,192 @@
+"""Cost of a link: grpclib streams against plain asyncio streams.
+
+Both carry the same frames with the same codec on uvloop over loopback, both
+ends in one process. Run `python -m bench.cost_links`; a trial behind
+docs/decisions/links-and-codec.md.
+"""
+
+import asyncio
+import contextlib
+import os
+import time
+import typing
+
+import uvloop
+from grpclib import client, const
+from grpclib import server as grpc_server
+
+from bench import figures
+from poplardrum import errors, ids
+from poplardrum.peers import codec, messages
+from poplardrum.standins import ports
+
+_ROUTE: typing.Final = '/bench.Link/Echo'
+_COUNT: typing.Final = 5000
+_BATCH: typing.Final = 10
+_LENGTH_BYTES: typing.Final = 4
+
+Exchange = typing.Callable[[messages.Frame], typing.Awaitable[messages.Frame]]
+
+
+def frame(items: int) -> messages.Frame:
+    """Return a frame of finished tasks."""
+    done = messages.Done(
+        ids.TaskId(ids.JobId('0123456789abcdef-01234567'), 7),
+        messages.TaskOutcome(
+            errors.Verdict.ran,
+            errors.Code.ok,
+            'released',
+            ids.MemberId('agent-7'),
+            0.05,
+        ),
+    )
+    load = messages.Load(8, 3, 0)
+    return messages.Frame(
+        1.0,
+        ids.ConfigNumber(4),
+        [done for _ in range(items)],
+        load,
+    )
+
+
+class EchoService:
+    """Send back each frame of a grpclib stream."""
+
+    async def echo(self, stream: typing.Any) -> None:
+        """Serve one stream."""
+        async for received in stream:
+            await stream.send_message(received)
+
+    def __mapping__(self) -> dict[str, const.Handler]:
+        """Return the route."""
+        return {
+            _ROUTE: const.Handler(
+                self.echo,
+                const.Cardinality.STREAM_STREAM,
+                messages.Frame,
+                messages.Frame,
+            ),
+        }
+
+
+async def grpclib_exchange(stack: contextlib.AsyncExitStack) -> Exchange:
+    """Open a grpclib stream."""
+    port = ports.free_ports(1)[0]
+    server = grpc_server.Server(
+        [EchoService()],
+        codec=codec.MessagePackCodec(),
+    )
+    await server.start('127.0.0.1', port)
+    stack.callback(server.close)
+    channel = client.Channel(
+        '127.0.0.1',
+        port,
+        codec=codec.MessagePackCodec(),
+    )
+    stack.callback(channel.close)
+    method = client.StreamStreamMethod(
+        channel,
+        _ROUTE,
+        messages.Frame,
+        messages.Frame,
+    )
+    stream = await stack.enter_async_context(method.open())
+    await stream.send_request()
+
+    async def exchange(sent: messages.Frame) -> messages.Frame:
+        await stream.send_message(sent)
+        return typing.cast(messages.Frame, await stream.recv_message())
+
+    stack.push_async_callback(stream.cancel)
+    return exchange
+
+
+class PlainStream:
+    """Frames with a length before each, over asyncio streams."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Use one connection."""
+        self.reader = reader
+        self.writer = writer
+        self.codec = codec.MessagePackCodec()
+
+    async def send(self, sent: messages.Frame) -> None:
+        """Write one frame."""
+        content = self.codec.encode(sent, messages.Frame)
+        self.writer.write(len(content).to_bytes(_LENGTH_BYTES) + content)
+        await self.writer.drain()
+
+    async def receive(self) -> messages.Frame:
+        """Read one frame."""
+        length = int.from_bytes(await self.reader.readexactly(_LENGTH_BYTES))
+        content = await self.reader.readexactly(length)
+        return typing.cast(
+            messages.Frame,
+            self.codec.decode(content, messages.Frame),
+        )
+
+
+async def _echo_plain(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    stream = PlainStream(reader, writer)
+    with contextlib.suppress(EOFError, asyncio.CancelledError):
+        while True:
+            await stream.send(await stream.receive())
+
+
+async def plain_exchange(stack: contextlib.AsyncExitStack) -> Exchange:
+    """Open a plain stream."""
+    port = ports.free_ports(1)[0]
+    server = await asyncio.start_server(_echo_plain, '127.0.0.1', port)
+    stack.callback(server.close)
+    reader, writer = await asyncio.open_connection('127.0.0.1', port)
+    stack.callback(writer.close)
+    stream = PlainStream(reader, writer)
+
+    async def exchange(sent: messages.Frame) -> messages.Frame:
+        await stream.send(sent)
+        return await stream.receive()
+
+    return exchange
+
+
+async def measure(name: str, opener: typing.Any) -> list[figures.Figure]:
+    """Return time and processor time of one exchange, both ends."""
+    found = []
+    async with contextlib.AsyncExitStack() as stack:
+        exchange = await opener(stack)
+        for items in (1, _BATCH):
+            sent = frame(items)
+            await exchange(sent)
+            wall, cpu = time.monotonic(), time.process_time()
+            for _ in range(_COUNT):
+                await exchange(sent)
+            wall = (time.monotonic() - wall) / _COUNT
+            cpu = (time.process_time() - cpu) / _COUNT
+            label = f'links.{name}_items_{items}'
+            found += [
+                figures.plain(f'{label}_wall', wall * 1e6, 'us'),
+                figures.plain(f'{label}_cpu', cpu * 1e6, 'us'),
+            ]
+    return found
+
+
+async def main() -> list[figures.Figure]:
+    """Measure both kinds."""
+    size = len(codec.MessagePackCodec().encode(frame(1), messages.Frame))
+    return [
+        figures.plain('links.frame_items_1', size, 'B'),
+        *await measure('grpclib', grpclib_exchange),
+        *await measure('plain', plain_exchange),
+    ]
+
+
+if __name__ == '__main__':
+    os.environ['UV_USE_IO_URING'] = '0'
+    figures.show(uvloop.run(main()))
--- a/bench/figures.py
+++ b/bench/figures.py
@@ -1,16 +1,10 @@
 """Lines of results, and readings of processes from /proc and /metrics."""
 
-import os
 import pathlib
 import typing
 
 from poplardrum.standins import http
 
-_TICKS: typing.Final = os.sysconf('SC_CLK_TCK')
-# Fields of /proc/PID/stat after the command's closing parenthesis.
-_USER_TICKS: typing.Final = 11
-_SYSTEM_TICKS: typing.Final = 12
-
 
 class Figure(typing.NamedTuple):
     """One measured value; `bound` is `None` for values without a target."""
@@ -69,11 +63,12 @@
 
 
 def cpu_seconds(pid: int) -> float:
-    """Return the processor time of a process in seconds."""
-    text = pathlib.Path(f'/proc/{pid}/stat').read_text()
-    fields = text.rpartition(')')[2].split()
-    ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
-    return ticks / _TICKS
+    """Return the processor time of a process in seconds.
+
+    schedstat counts nanoseconds, where /proc/PID/stat counts 10 ms ticks.
+    """
+    tasks = pathlib.Path(f'/proc/{pid}/task').glob('*/schedstat')
+    return sum(int(task.read_text().split()[0]) for task in tasks) / 1e9
 
 
 def counters(address: str) -> dict[str, float]:
