--- a/bench/process_flood.py
+++ b/bench/process_flood.py
@@ -14,6 +14,8 @@
 _OTHER_LOAD: typing.Final = 0.25
 _FLOOD_LOAD: typing.Final = 10.0
 _FLOOD_JOB: typing.Final = (0.1,) * 100
+# Ends the run soon after the flood where nothing refuses it.
+_FLOOD_DEADLINE: typing.Final = 10.0
 _SEED: typing.Final = 11
 _KEPT_BOUND: typing.Final = 0.98
 _P99_BOUND: typing.Final = 1.25
@@ -48,6 +50,7 @@
             choice.uniform(0, _SPAN),
             list(_FLOOD_JOB),
             choice.randrange(2),
+            _FLOOD_DEADLINE,
         )
         for _ in range(count)
     ]
--- a/bench/process_system.py
+++ b/bench/process_system.py
@@ -33,6 +33,7 @@
     arrival: float
     tasks: list[float]
     entry: int = 0
+    deadline: float = 60
     status: int = 0
     code: str = ''
     seconds: float = 0
@@ -181,7 +182,8 @@
         }
         for seconds in job.tasks
     ]
-    return json.dumps({'tasks': tasks, 'deadline_ms': 60000}).encode()
+    body = {'tasks': tasks, 'deadline_ms': job.deadline * 1000}
+    return json.dumps(body).encode()
 
 
 def submit_all(
--- /dev/null
+++ b/tests/test_bench.py
@@ -0,0 +1,50 @@
+"""Parts of the measurements whose faults would look like good figures."""
+
+import random
+import unittest
+
+from bench import figures
+from bench import process_system as base
+
+
+class BenchTest(unittest.TestCase):
+    """Guards against figures that flatter the system."""
+
+    def test_schedule(self) -> None:
+        """Guards against an ideal that is too long."""
+        alone = base.Job('a', 0, [1, 1, 2])
+        self.assertEqual(base.schedule([alone], [1, 2]), [1.5])
+        after = base.Job('a', 0, [1])
+        self.assertEqual(base.schedule([alone, after], [1, 2])[1], 2)
+
+    def test_arrivals(self) -> None:
+        """Guards against a load below the one that is reported."""
+        jobs = base.arrivals(random.Random(1), power=50, span=20)
+        self.assertGreaterEqual(sum(job.work for job in jobs), 1000)
+        self.assertEqual(
+            [job.tasks for job in jobs],
+            [
+                job.tasks
+                for job in base.arrivals(random.Random(1), power=50, span=20)
+            ],
+        )
+        self.assertTrue(all(0 <= job.arrival <= 20 for job in jobs))
+        self.assertTrue(all(1 <= len(job.tasks) <= 200 for job in jobs))
+
+    def test_lines(self) -> None:
+        """Guards against a short figure that is printed as ok."""
+        lines = (
+            (figures.at_most('a', 2, 'ms', 1), 'a 2 ms 1 short'),
+            (figures.at_most('a', 1, 'ms', 1), 'a 1 ms 1 ok'),
+            (figures.at_least('a', 0.5, 'share', 1), 'a 0.5 share 1 short'),
+            (figures.plain('a', 0.5, 's'), 'a 0.5 s - ok'),
+            (figures.at_most('a', float('nan'), 's', 1), 'a nan s 1 short'),
+        )
+        for figure, expected in lines:
+            self.assertEqual(figure.line(), expected)
+
+    def test_quantile(self) -> None:
+        """Guards against a quantile below the one that is named."""
+        values = [float(number) for number in range(100)]
+        self.assertEqual(figures.quantile(values, 0.5), 50)
+        self.assertEqual(figures.quantile(values, 0.99), 99)
