--- a/src/poplardrum/daemons/agent.py
+++ b/src/poplardrum/daemons/agent.py
@@ -91,6 +91,16 @@
             if member.state is messages.MemberState.ready
         ]
 
+    def placeable(self) -> list[messages.Member]:
+        """Return the agents that tasks of own jobs may go to.
+
+        While this agent drains, its own slots still serve its own jobs.
+        """
+        found = self.ready_agents()
+        if self.stopping.is_set() and self.member not in found:
+            found.append(self.member)
+        return found
+
     def worker_link(self, member: ids.MemberId) -> links.Link | None:
         """Return the link on which this coordinator reaches a worker."""
         if member == self.member.id:
--- a/src/poplardrum/daemons/backlog.py
+++ b/src/poplardrum/daemons/backlog.py
@@ -5,55 +5,61 @@
 
 from poplardrum import ids
 from poplardrum.peers import messages
+from poplardrum.scheduling import queue
 
 if typing.TYPE_CHECKING:
     from poplardrum.daemons import slots
 
-Rank = tuple[int, float]
 
-
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True)
 class QueuedTask:
     """A granted task that waits for a slot."""
 
     task: ids.TaskId
-    rank: Rank
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(frozen=True)
 class Reservation:
-    """A job of which up to `count` tasks may be claimed."""
+    """A job of which tasks may be claimed from its coordinator."""
 
     owner: 'slots.Owner'
     job: ids.JobId
-    tenant: ids.TenantName
-    rank: Rank
-    count: int
 
 
-Entry = QueuedTask | Reservation
+Payload = QueuedTask | Reservation
+Entry = queue.Entry[Payload]
 
 
 class Backlog:
-    """Order what waits for a slot."""
+    """Order what waits for a slot by tenant, urgency and job."""
 
     def __init__(self) -> None:
         """Start empty."""
-        self.entries: dict[ids.TaskId | ids.JobId, Entry] = {}
+        self.queue: queue.FairQueue[Payload] = queue.FairQueue()
 
     def __len__(self) -> int:
-        """Return the number of entries."""
-        return len(self.entries)
+        """Return the number of waiting tasks, reserved ones included."""
+        return len(self.queue)
 
     def push_task(
         self,
-        task: ids.TaskId,
         item: messages.Start,
+        expected: float,
+        ends: float,
         now: float,
     ) -> None:
-        """Add a granted task."""
-        rank = (item.urgency, now + item.order)
-        self.entries[task] = QueuedTask(task, rank)
+        """Add a granted task that may start until `ends`."""
+        self.queue.push(
+            queue.Entry(
+                id=item.task,
+                tenant=item.tenant,
+                urgency=item.urgency,
+                order=now + item.order,
+                expected=expected,
+                payload=QueuedTask(item.task),
+                deadline=ends,
+            ),
+        )
 
     def push_reservation(
         self,
@@ -62,35 +68,19 @@
         now: float,
     ) -> None:
         """Add a reservation, in place of an earlier one of the job."""
-        self.entries[item.job] = Reservation(
-            owner,
-            item.job,
-            item.tenant,
-            (item.urgency, now + item.order),
-            item.count,
+        self.queue.remove(item.job)
+        self.queue.push(
+            queue.Entry(
+                id=item.job,
+                tenant=item.tenant,
+                urgency=item.urgency,
+                order=now + item.order,
+                expected=item.expected_ms / 1000,
+                payload=Reservation(owner, item.job),
+                count=item.count,
+            ),
         )
 
-    def pop(self, now: float) -> Entry | None:
-        """Take the next entry; a reservation stays for its further tasks."""
-        if not self.entries:
-            return None
-        key = min(self.entries, key=self.rank)
-        entry = self.entries[key]
-        if isinstance(entry, Reservation):
-            entry.count -= 1
-            if entry.count > 0:
-                return entry
-        self.entries.pop(key)
-        return entry
-
-    def rank(self, key: ids.TaskId | ids.JobId) -> Rank:
-        """Return the sort key of an entry."""
-        return self.entries[key].rank
-
-    def remove_task(self, task: ids.TaskId) -> None:
-        """Remove a granted task, if it is queued."""
-        self.entries.pop(task, None)
-
     def release(
         self,
         owner: 'slots.Owner',
@@ -98,27 +88,23 @@
     ) -> None:
         """Remove the reservations of jobs."""
         for job in released:
-            entry = self.entries.get(job)
-            if isinstance(entry, Reservation) and entry.owner == owner:
-                self.entries.pop(job)
+            entry = self.queue.entries.get(job)
+            if entry and entry.payload == Reservation(owner, job):
+                self.queue.remove(job)
 
     def drop_owner(self, member: ids.MemberId) -> None:
         """Remove the reservations of a coordinator."""
-        for key, entry in list(self.entries.items()):
-            if isinstance(entry, Reservation):
-                if entry.owner.member == member:
-                    self.entries.pop(key)
+        self.queue.remove_if(
+            lambda entry: (
+                isinstance(entry.payload, Reservation)
+                and entry.payload.owner.member == member
+            ),
+        )
 
     def clear_reservations(self) -> None:
         """Remove all reservations."""
-        for key, entry in list(self.entries.items()):
-            if isinstance(entry, Reservation):
-                self.entries.pop(key)
+        self.queue.remove_if(_is_reservation)
 
-    def charge(
-        self,
-        tenant: ids.TenantName,
-        seconds: float,
-        now: float,
-    ) -> None:
-        """Note used slot time of a tenant."""
+
+def _is_reservation(entry: Entry) -> bool:
+    return isinstance(entry.payload, Reservation)
--- a/src/poplardrum/daemons/coordinator.py
+++ b/src/poplardrum/daemons/coordinator.py
@@ -6,7 +6,7 @@
 import typing
 
 from poplardrum import ids
-from poplardrum.daemons import grants, reservations
+from poplardrum.daemons import grants, reservations, workers
 from poplardrum.daemons import job as jobs
 from poplardrum.peers import dispatch, links, messages
 from poplardrum.scheduling import placement
@@ -17,14 +17,11 @@
 logger = logging.getLogger(__name__)
 
 _LEASE_MS: typing.Final = 10_000
+# Policies that queue tasks at workers let them wait there for longer.
+_QUEUE_LEASE_MS: typing.Final = 30_000
 _TICK_SECONDS: typing.Final = 0.05
-# Allowed response time of a job relative to its ideal; orders jobs.
-_STRETCH: typing.Final = 2.0
-# A grant that is younger than this is not yet part of the reported load.
-_UNSEEN_SECONDS: typing.Final = 0.01
 # A task that is queued for longer may be taken back for a free worker.
 _QUEUED_SECONDS: typing.Final = 0.1
-_HEARTBEAT_SECONDS: typing.Final = 2.0
 
 
 class Coordinator:
@@ -39,6 +36,7 @@
             process.member.incarnation,
         )
         self.jobs = self.grants.jobs
+        self.workers = workers.Workers(process, self.grants)
         self.reservations = reservations.Reservations()
         self.changed = asyncio.Event()
 
@@ -53,7 +51,8 @@
         `age` is the time in seconds that its frame has waited.
         """
         now = time.monotonic()
-        job = jobs.create(job_id, item, now, age, _STRETCH)
+        expected = self.workers.expected(item)
+        job = jobs.create(job_id, item, now, age, expected)
         self.jobs[job.id] = job
         self.changed.set()
         self.place(job, now)
@@ -84,97 +83,67 @@
             self.place(job, now)
 
     def place(self, job: jobs.Job, now: float) -> None:
-        """Grant waiting tasks to free workers, reserve for the rest."""
-        candidates = self.candidates(job, now)
-        while job.waiting:
-            chosen = self.choose(candidates)
-            if chosen is None or not self.grant(job, chosen.worker, now):
-                break
+        """Grant waiting tasks by the policy, reserve for the rest."""
+        policy = self.policy()
+        candidates = self.workers.candidates(job, now)
+        tasks = [
+            placement.Task(position, job.expected[position])
+            for position in job.waiting
+        ]
+        plan = placement.place(
+            policy,
+            tasks,
+            candidates,
+            self.process.random,
+        )
+        for chosen in plan.grants:
+            self.grant(job, chosen.index, chosen.worker, now)
         if not job.waiting:
             self.reservations.drop(job)
-            return
-        for worker, item in self.reservations.extend(job, candidates, now):
-            self.send(worker, item)
+        elif policy == placement.LateBinding():
+            added = self.reservations.extend(job, candidates, now)
+            for worker, item in added:
+                self.send(worker, item)
 
-    def choose(
-        self,
-        candidates: list[placement.Candidate],
-    ) -> placement.Candidate | None:
-        """Choose a worker with a free slot."""
-        free = [candidate for candidate in candidates if candidate.free > 0]
-        return placement.random_two(free, self.process.random)
+    def policy(self) -> placement.Policy:
+        """Return the policy that the rules choose."""
+        rule = self.process.configuration.rules.placement
+        return placement.POLICIES[rule.policy]
 
     def grant(
         self,
         job: jobs.Job,
+        position: int,
         worker: ids.MemberId,
         now: float,
         claim: int = 0,
     ) -> bool:
-        """Grant the next waiting task; return `False` when not sent."""
+        """Grant a waiting task; return `False` when not sent."""
         link = self.process.worker_link(worker)
         if link is None:
             return False
+        late = self.policy() == placement.LateBinding()
         target = grants.Target(
+            position,
             worker,
             link.member.incarnation,
-            _LEASE_MS,
+            _LEASE_MS if late else _QUEUE_LEASE_MS,
             claim,
         )
         return self.grants.grant(job, target, now)
 
-    def candidates(
-        self,
-        job: jobs.Job,
-        now: float,
-    ) -> list[placement.Candidate]:
-        """Return the workers that new tasks may go to."""
-        hints = {hint.worker: hint.load for hint in job.submit.hints}
-        found = []
-        for member in self.process.ready_agents():
-            link = self.process.worker_link(member.id)
-            load = (link.load if link else None) or hints.get(member.id)
-            if link and load:
-                found.append(
-                    placement.Candidate(
-                        member.id,
-                        load.slots,
-                        self.believed_free(link, load, now),
-                        load.queued,
-                        load.speed,
-                    ),
-                )
-        return found
-
-    def believed_free(
-        self,
-        link: links.Link,
-        load: messages.Load,
-        now: float,
-    ) -> int:
-        """Estimate the free slots of a worker from its last frame.
-
-        Grants that the frame cannot know of are subtracted, and a part of
-        the slots for its age, since other coordinators use them meanwhile.
-        """
-        age = 0.0
-        if link is not self.process.local:
-            age = min(1, (now - link.last_seen) / _HEARTBEAT_SECONDS)
-        seen_at = now if age == 0 else link.last_seen
-        unseen = self.grants.recent(
-            link.member.id,
-            seen_at - _UNSEEN_SECONDS,
-        )
-        return load.free - unseen - int(age * load.slots / 2)
-
     def claim(self, item: messages.Claim, link: links.Link) -> None:
         """Answer a claim by a task, or say that none waits."""
         worker = link.member.id
+        now = time.monotonic()
+        reservations.note_claim(self.jobs.get(item.job), worker)
         job = reservations.best_waiting(self.jobs, item.tenant)
-        if job and self.grant(job, worker, time.monotonic(), item.claim):
-            if not job.waiting:
-                self.reservations.drop(job)
-            return
+        if job and self.workers.takes_claims(worker, now):
+            position = job.waiting[0]
+            if self.grant(job, position, worker, now, item.claim):
+                if not job.waiting:
+                    self.reservations.drop(job)
+                return
         self.process.metrics.wasted.labels('no_task').inc(2)
         self.send(worker, messages.NoTask(item.job, item.claim))
 
@@ -210,6 +179,14 @@
             time.monotonic(),
         )
 
+    def done(self, worker: ids.MemberId, item: messages.Done) -> None:
+        """Take the end of a task and learn from it."""
+        job = self.jobs.get(item.task.job)
+        if job and item.task.position in job.granted:
+            spec = job.submit.tasks[item.task.position]
+            self.workers.learn(worker, job.submit.tenant, spec, item.outcome)
+        self.grants.done(worker, item.task, item.outcome)
+
     def not_started(
         self,
         worker: ids.MemberId,
@@ -237,7 +214,7 @@
     process: 'agent.Agent',
     link: links.Link,
 ) -> None:
-    process.coordinator.grants.done(link.member.id, item.task, item.outcome)
+    process.coordinator.done(link.member.id, item)
 
 
 @dispatch.receive.register(messages.NotStarted)
--- a/src/poplardrum/daemons/grants.py
+++ b/src/poplardrum/daemons/grants.py
@@ -32,8 +32,9 @@
 
 
 class Target(typing.NamedTuple):
-    """The worker that a task goes to, its lease and the claim, if any."""
+    """A task, the worker it goes to, its lease and the claim, if any."""
 
+    position: int
     worker: ids.MemberId
     incarnation: ids.Incarnation
     lease_ms: float
@@ -58,8 +59,8 @@
         self.held: dict[ids.MemberId, dict[ids.TaskId, jobs.Grant]] = {}
 
     def grant(self, job: jobs.Job, target: Target, now: float) -> bool:
-        """Grant the next waiting task; return `False` when not sent."""
-        position = job.waiting[0]
+        """Grant a waiting task; return `False` when not sent."""
+        position = target.position
         grant = jobs.Grant(
             task=ids.TaskId(job.id, position),
             number=next(self.numbers),
@@ -70,7 +71,7 @@
         item = self.start_item(job, grant, target, now)
         if not self.port.send(target.worker, item):
             return False
-        job.waiting.popleft()
+        job.waiting.remove(position)
         job.granted[position] = grant
         self.held.setdefault(target.worker, {})[grant.task] = grant
         return True
--- a/src/poplardrum/daemons/job.py
+++ b/src/poplardrum/daemons/job.py
@@ -2,11 +2,15 @@
 
 import collections
 import dataclasses
+import typing
 
 from poplardrum import errors, ids
 from poplardrum.coordination import records
 from poplardrum.peers import messages
 
+# Allowed response time of a job relative to its ideal; it orders jobs.
+_STRETCH: typing.Final = 2.0
+
 
 @dataclasses.dataclass
 class Grant:
@@ -25,6 +29,14 @@
     withdrawn: bool = False
 
 
+@dataclasses.dataclass
+class Reserved:
+    """A reservation at one worker: when it was sent, what is unclaimed."""
+
+    at: float
+    count: int
+
+
 @dataclasses.dataclass
 class Job:
     """One running job; times are monotonic seconds.
@@ -38,6 +50,7 @@
     submit: messages.SubmitJob
     started: float
     deadline: float
+    expected: list[float]
     order: float = 0
     waiting: collections.deque[int] = dataclasses.field(
         default_factory=collections.deque,
@@ -50,7 +63,7 @@
         default_factory=collections.Counter,
     )
     ending: errors.Code | None = None
-    reserved: dict[ids.MemberId, float] = dataclasses.field(
+    reserved: dict[ids.MemberId, Reserved] = dataclasses.field(
         default_factory=dict,
     )
 
@@ -81,18 +94,16 @@
     item: messages.SubmitJob,
     now: float,
     age: float,
-    stretch: float,
+    expected: list[float],
 ) -> Job:
     """Return a job whose frame waited `age` seconds.
 
-    Tasks with the longest declared times go first, so that no long task is
-    started last. `stretch` multiplies the longest declared time, which is
-    the ideal response time on an idle fleet.
+    Tasks with the longest `expected` seconds go first, so that no long task
+    is started last. The longest is the ideal response time on an idle fleet.
     """
-    declared = [task.declared_ms for task in item.tasks]
     positions = sorted(
-        range(len(declared)),
-        key=declared.__getitem__,
+        range(len(expected)),
+        key=expected.__getitem__,
         reverse=True,
     )
     return Job(
@@ -100,7 +111,8 @@
         submit=item,
         started=now - age,
         deadline=now - age + item.deadline_ms / 1000,
-        order=now - age + stretch * max(declared) / 1000,
+        order=now - age + _STRETCH * max(expected),
+        expected=expected,
         waiting=collections.deque(positions),
     )
 
--- a/src/poplardrum/daemons/reservations.py
+++ b/src/poplardrum/daemons/reservations.py
@@ -4,6 +4,7 @@
 `Release` that rides with the next other item to it.
 """
 
+import math
 import typing
 
 from poplardrum import ids
@@ -33,17 +34,17 @@
     ) -> list[tuple[ids.MemberId, messages.Reserve]]:
         """Return the reservations to add for the waiting tasks of a job.
 
-        A reservation stands for all waiting tasks, so that a worker that is
-        faster than believed claims more of them.
+        The counts add up to twice the waiting tasks, so that a worker that
+        is faster than believed claims more of them.
         """
         usable = {
             candidate.worker: candidate
             for candidate in candidates
-            if candidate.slots
+            if candidate.usable
         }
-        for worker, reserved_at in list(job.reserved.items()):
-            renew = now - reserved_at > _RENEW_SECONDS
-            if renew or worker not in usable:
+        for worker, reserved in list(job.reserved.items()):
+            renew = now - reserved.at > _RENEW_SECONDS
+            if renew or reserved.count <= 0 or worker not in usable:
                 job.reserved.pop(worker)
         missing = max(_PROBES, len(job.waiting)) - len(job.reserved)
         unasked = [
@@ -54,12 +55,16 @@
         if missing <= 0 or not unasked:
             return []
         unasked.sort(key=_wait)
-        item = reserve_item(job, now)
-        chosen = [candidate.worker for candidate in unasked[:missing]]
-        for worker in chosen:
-            job.reserved[worker] = now
-            self.stale.get(worker, set()).discard(job.id)
-        return [(worker, item) for worker in chosen]
+        chosen = unasked[:missing]
+        total = sum(map(_weight, usable.values()))
+        added = []
+        for candidate in chosen:
+            part = _PROBES * len(job.waiting) * _weight(candidate) / total
+            item = reserve_item(job, math.ceil(part), now)
+            job.reserved[candidate.worker] = jobs.Reserved(now, item.count)
+            self.stale.get(candidate.worker, set()).discard(job.id)
+            added.append((candidate.worker, item))
+        return added
 
     def drop(self, job: jobs.Job) -> None:
         """Mark the reservations of a job without waiting tasks as unused."""
@@ -83,17 +88,27 @@
             job.reserved.pop(worker, None)
 
 
-def reserve_item(job: jobs.Job, now: float) -> messages.Reserve:
-    """Build the message for all waiting tasks of a job."""
-    tasks = job.submit.tasks
-    declared = [tasks[position].declared_ms for position in job.waiting]
+def note_claim(job: jobs.Job | None, worker: ids.MemberId) -> None:
+    """Count a claim against the reservation that allowed it."""
+    reserved = job.reserved.get(worker) if job else None
+    if reserved is not None:
+        reserved.count -= 1
+
+
+def reserve_item(
+    job: jobs.Job,
+    count: int,
+    now: float,
+) -> messages.Reserve:
+    """Build the message that lets a worker claim `count` tasks."""
+    times = [job.expected[position] for position in job.waiting]
     return messages.Reserve(
         job=job.id,
         tenant=job.submit.tenant,
         urgency=job.submit.urgency,
         order=job.order - now,
-        count=len(job.waiting),
-        expected_ms=sum(declared) / len(declared),
+        count=count,
+        expected_ms=1000 * sum(times) / len(times),
     )
 
 
@@ -116,5 +131,8 @@
 
 
 def _wait(candidate: placement.Candidate) -> float:
-    load = candidate.queued + 1 - candidate.free
-    return load / (candidate.slots * candidate.speed)
+    return candidate.wait()
+
+
+def _weight(candidate: placement.Candidate) -> float:
+    return candidate.slots * candidate.speed
--- a/src/poplardrum/daemons/slots.py
+++ b/src/poplardrum/daemons/slots.py
@@ -35,12 +35,16 @@
 
 @dataclasses.dataclass
 class Held:
-    """One task that is queued or running here."""
+    """One task that is queued or running here.
+
+    `expected` is the time in seconds that its tenant was charged at once.
+    """
 
     start: messages.Start
     lease_ends: float
     deadline: float
     phase: Phase = Phase.queued
+    expected: float = 0
 
     @property
     def owner(self) -> Owner:
@@ -61,10 +65,14 @@
 
 @dataclasses.dataclass
 class OpenClaim:
-    """A claim without an answer; it keeps a slot while `keeps_slot`."""
+    """A claim without an answer; it keeps a slot while `keeps_slot`.
+
+    Its tenant was charged `expected` seconds at once.
+    """
 
     owner: Owner
-    job: ids.JobId
+    tenant: ids.TenantName
+    expected: float
     at: float
     keeps_slot: bool = True
 
@@ -75,6 +83,9 @@
     def send(self, owner: Owner, item: messages.AnyItem) -> bool:
         """Send to a coordinator; return `False` when its link is down."""
 
+    def expected(self, item: messages.Start) -> float:
+        """Return the expected run time of a task here in seconds."""
+
     def run(self, held: Held) -> None:
         """Start a task at the endpoint."""
 
@@ -157,6 +168,7 @@
             deadline=now - age + item.deadline_ms / 1000,
         )
         if self.known(held):
+            self.settle_claim(claim)
             return
         reason = held.lapsed(now)
         if not self.takes_from(item.coordinator):
@@ -165,10 +177,28 @@
             reason = errors.Code.overload
         self.held[held.task] = held
         if reason is not None:
+            self.settle_claim(claim)
             self.refuse(held, reason, now)
-            return
-        self.queue.push_task(held.task, item, now)
-        self.pump(now)
+        elif claim and claim.tenant == item.tenant and self.free > 0:
+            self.begin(held, claim.expected, now)
+        else:
+            self.settle_claim(claim)
+            self.enqueue(held, now)
+            self.pump(now)
+
+    def enqueue(self, held: Held, now: float) -> None:
+        """Queue a granted task until a slot is free for it."""
+        self.queue.push_task(
+            held.start,
+            self.port.expected(held.start),
+            min(held.lease_ends, held.deadline),
+            now,
+        )
+
+    def settle_claim(self, claim: OpenClaim | None) -> None:
+        """Give a tenant back what a claim that starts nothing was charged."""
+        if claim is not None:
+            self.queue.queue.charge(claim.tenant, 0, claim.expected)
 
     def known(self, held: Held) -> bool:
         """Answer a grant of a task that needs no second start."""
@@ -205,47 +235,63 @@
 
     def no_task(self, item: messages.NoTask, owner: Owner, now: float) -> None:
         """Free the slot of a claim; the job has no task left."""
-        self.claims.pop(item.claim, None)
+        self.settle_claim(self.claims.pop(item.claim, None))
         self.queue.release(owner, [item.job])
         self.pump(now)
 
     def pump(self, now: float) -> None:
         """Start or claim in the order of the queue while slots are free."""
         while self.free > 0:
-            entry = self.queue.pop(now)
+            entry = self.queue.queue.pop(now)
             if entry is None:
                 return
-            if isinstance(entry, backlog.Reservation):
-                self.claim(entry, now)
+            payload = entry.payload
+            if isinstance(payload, backlog.Reservation):
+                self.claim(entry, payload, now)
             else:
-                self.begin(self.held[entry.task], now)
+                self.begin(self.held[payload.task], entry.expected, now)
 
-    def begin(self, held: Held, now: float) -> None:
-        """Start a queued task unless its lease or deadline has passed."""
+    def begin(self, held: Held, expected: float, now: float) -> None:
+        """Start a task unless its lease or deadline has passed."""
+        held.expected = expected
         reason = held.lapsed(now)
         if reason is not None:
+            self.queue.queue.charge(held.start.tenant, 0, expected)
             self.refuse(held, reason, now)
             return
         held.phase = Phase.running
         self.port.run(held)
 
-    def claim(self, entry: backlog.Reservation, now: float) -> None:
+    def claim(
+        self,
+        entry: backlog.Entry,
+        reserved: backlog.Reservation,
+        now: float,
+    ) -> None:
         """Ask for one task of a reserved job."""
         number = next(self.numbers)
-        item = messages.Claim(entry.job, number, entry.tenant)
-        if self.port.send(entry.owner, item):
-            self.claims[number] = OpenClaim(entry.owner, entry.job, now)
+        claim = OpenClaim(reserved.owner, entry.tenant, entry.expected, now)
+        item = messages.Claim(reserved.job, number, entry.tenant)
+        if self.port.send(reserved.owner, item):
+            self.claims[number] = claim
+        else:
+            self.settle_claim(claim)
 
     def refuse(self, held: Held, reason: errors.Code, now: float) -> None:
         """Give back a task that has not started and never will here."""
         self.held.pop(held.task)
-        self.queue.remove_task(held.task)
+        self.queue.queue.remove(held.task)
         self.memory.refuse(held.task, held.start.grant, now)
         self.port.send(
             held.owner,
             messages.NotStarted([held.task], reason, [held.start.grant]),
         )
 
+    def unreached(self, held: Held, reason: errors.Code, now: float) -> None:
+        """Give back a task that was begun and did not reach the endpoint."""
+        self.queue.queue.charge(held.start.tenant, 0, held.expected)
+        self.refuse(held, reason, now)
+
     def ended(
         self,
         held: Held,
@@ -254,7 +300,11 @@
     ) -> None:
         """Report the end of a task and use its slot again."""
         self.held.pop(held.task)
-        self.queue.charge(held.start.tenant, outcome.seconds, now)
+        self.queue.queue.charge(
+            held.start.tenant,
+            outcome.seconds,
+            held.expected,
+        )
         self.memory.finish(held.task, held.start.grant, outcome, now)
         self.port.send(held.owner, messages.Done(held.task, outcome))
         self.pump(now)
@@ -265,11 +315,12 @@
         for number, claim in list(self.claims.items()):
             claim.keeps_slot = now - claim.at < _CLAIM_SECONDS
             if now - claim.at > _CLAIM_KEPT_SECONDS:
-                self.claims.pop(number)
-        for held in list(self.held.values()):
-            reason = held.lapsed(now)
-            if held.phase is Phase.queued and reason is not None:
-                self.refuse(held, reason, now)
+                self.settle_claim(self.claims.pop(number))
+        for entry in self.queue.queue.take_expired(now):
+            payload = entry.payload
+            if isinstance(payload, backlog.QueuedTask):
+                held = self.held[payload.task]
+                self.refuse(held, errors.Code.deadline, now)
         self.pump(now)
 
     def coordinator_lost(self, member: ids.MemberId, now: float) -> None:
@@ -277,7 +328,7 @@
         self.queue.drop_owner(member)
         for number, claim in list(self.claims.items()):
             if claim.owner.member == member:
-                self.claims.pop(number)
+                self.settle_claim(self.claims.pop(number))
         self.pump(now)
 
     def coordinator_back(self, owner: Owner, now: float) -> None:
--- a/src/poplardrum/daemons/worker.py
+++ b/src/poplardrum/daemons/worker.py
@@ -40,6 +40,7 @@
             slots.Bounds(limits.queue, limits.records, limits.answers),
         )
         self.limits: dict[ids.TaskId, asyncio.Timeout] = {}
+        self.config = ids.ConfigNumber(0)
 
     def load(self) -> messages.Load:
         """Return the load to report."""
@@ -50,6 +51,7 @@
             slots=total,
             free=max(0, min(total, self.slots.free - queued)),
             queued=queued,
+            backlog=self.slots.queue.queue.backlog(),
         )
 
     def refresh(self) -> None:
@@ -62,6 +64,7 @@
     async def watch(self) -> None:
         """Notice endpoints that fall silent, leases and claims that lapse."""
         while True:
+            self.use_shares()
             self.refresh()
             self.slots.tick(time.monotonic())
             await asyncio.sleep(_TICK_SECONDS)
@@ -122,9 +125,27 @@
 
     def give_back(self, held: slots.Held, reason: errors.Code) -> None:
         """Return a task that did not reach the endpoint."""
-        self.slots.refuse(held, reason, time.monotonic())
+        self.slots.unreached(held, reason, time.monotonic())
         self.refresh()
 
+    def expected(self, item: messages.Start) -> float:
+        """Return the expected run time of a task here in seconds."""
+        return self.process.coordinator.workers.estimates.expected_on(
+            (item.tenant, item.spec.kind),
+            item.spec.declared_ms / 1000,
+            self.process.member.id,
+        )
+
+    def use_shares(self) -> None:
+        """Bring the shares of the queue in line with the rules."""
+        current = self.process.configuration
+        if current.number != self.config:
+            self.config = current.number
+            tenants = current.rules.tenants
+            self.slots.queue.queue.set_shares(
+                {name: rule.share for name, rule in tenants.items()},
+            )
+
     def stop(self, held: slots.Held) -> None:
         """Ask the endpoint to stop a task that runs there."""
         announcement = self.endpoint.announcement
--- /dev/null
+++ b/src/poplardrum/daemons/workers.py
@@ -0,0 +1,141 @@
+"""What a coordinator believes of the workers it may send tasks to."""
+
+import time
+import typing
+
+from poplardrum import errors, ids
+from poplardrum.daemons import grants
+from poplardrum.daemons import job as jobs
+from poplardrum.peers import links, messages
+from poplardrum.scheduling import ejection, estimates, placement
+
+if typing.TYPE_CHECKING:
+    from poplardrum.daemons import agent
+
+# A grant that is younger than this is not yet part of the reported load.
+_UNSEEN_SECONDS: typing.Final = 0.01
+# Age of a load at which half of the slots are taken to be in use.
+_STALE_SECONDS: typing.Final = 2.0
+_FAILURES: typing.Final = frozenset(
+    (errors.Code.task_failed, errors.Code.endpoint_failed),
+)
+
+
+class Workers:
+    """Learn of workers from the ends of tasks and from their frames."""
+
+    def __init__(
+        self,
+        process: 'agent.Agent',
+        granted: grants.Grants,
+    ) -> None:
+        """Start without experience."""
+        self.process = process
+        self.grants = granted
+        self.estimates = estimates.Estimates()
+        self.ejector = ejection.Ejector()
+
+    def expected(self, item: messages.SubmitJob) -> list[float]:
+        """Return the expected seconds of each task at speed 1."""
+        return [
+            self.estimates.expected(
+                item.tenant,
+                task.kind,
+                task.declared_ms / 1000,
+            )
+            for task in item.tasks
+        ]
+
+    def learn(
+        self,
+        worker: ids.MemberId,
+        tenant: ids.TenantName,
+        spec: messages.TaskSpec,
+        outcome: messages.TaskOutcome,
+    ) -> None:
+        """Learn from the end of one task.
+
+        Stopped tasks and broken deadlines say nothing of the worker.
+        """
+        now = time.monotonic()
+        failed = outcome.code in _FAILURES
+        succeeded = outcome.code is errors.Code.ok
+        if succeeded:
+            self.estimates.learn(
+                (tenant, spec.kind),
+                spec.declared_ms / 1000,
+                worker,
+                outcome.seconds,
+                now,
+            )
+        if failed or succeeded:
+            self.ejector.record(
+                worker,
+                (tenant, spec.kind),
+                failed=failed,
+                now=now,
+                fleet=len(self.process.ready_agents()),
+            )
+
+    def takes_claims(self, worker: ids.MemberId, now: float) -> bool:
+        """Tell whether a claim may get a task; a probe counts as started."""
+        ejected = self.ejector.is_ejected(worker)
+        return not ejected or self.ejector.take_probe(worker, now)
+
+    def candidates(
+        self,
+        job: jobs.Job,
+        now: float,
+    ) -> list[placement.Candidate]:
+        """Return the workers that new tasks may go to."""
+        hints = {hint.worker: hint.load for hint in job.submit.hints}
+        found = []
+        for member in self.process.placeable():
+            link = self.process.worker_link(member.id)
+            load = (link.load if link else None) or hints.get(member.id)
+            if link and load:
+                found.append(self.candidate(link, load, now))
+        return found
+
+    def candidate(
+        self,
+        link: links.Link,
+        load: messages.Load,
+        now: float,
+    ) -> placement.Candidate:
+        """Describe one worker; an ejected one takes a probe at times."""
+        worker = link.member.id
+        free = self.believed_free(link, load, now)
+        ejected = self.ejector.is_ejected(worker)
+        if ejected and free > 0 and self.ejector.take_probe(worker, now):
+            ejected = False
+            free = 1
+        return placement.Candidate(
+            worker,
+            load.slots,
+            max(0, free),
+            load.queued + max(0, -free),
+            self.estimates.speed(worker, load.speed),
+            sum(load.backlog.values()),
+            ejected=ejected,
+        )
+
+    def believed_free(
+        self,
+        link: links.Link,
+        load: messages.Load,
+        now: float,
+    ) -> int:
+        """Estimate the free slots of a worker from its last frame.
+
+        Grants that the frame cannot know of are subtracted, and a part of
+        the slots for its age, since other coordinators use them meanwhile.
+        """
+        is_local = link is self.process.local
+        seen_at = now if is_local else link.last_seen
+        age = min(1, (now - seen_at) / _STALE_SECONDS)
+        unseen = self.grants.recent(
+            link.member.id,
+            seen_at - _UNSEEN_SECONDS,
+        )
+        return load.free - unseen - int(age * load.slots / 2)
