Order jobs by size and place by the next free slot

A small job waited for seconds on a slow worker whose eight slots had just taken long tasks, because placement counted all queued work as ahead of it and knew nothing of the running tasks. Candidates now carry the expected time to the next free slot (new field Load.next_free), count only the queued work that goes first, and small jobs get a spare reservation.

--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -8,6 +8,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import typing
 
@@ -17,7 +18,7 @@
 from poplardrum.scheduling import queue as queues
 
 HOP_SECONDS: typing.Final = 0.001
-HEARTBEAT_SECONDS: typing.Final = 2.0
+REPORT_SECONDS: typing.Final = 0.1
 FAST_FAILURE: typing.Final = 0.005
 SLOTS: typing.Final = 8
 SPEEDS: typing.Final = (0.5, 0.5, 0.5, 1, 1, 1, 1, 2, 2, 2)
@@ -31,6 +32,7 @@
     order: ordering.Ordering = ordering.DEFAULT
     speeds: tuple[float, ...] = SPEEDS
     seed: int = 1
+    report_seconds: float = REPORT_SECONDS
     straggler: int | None = None
     slow_from: float = 0
     slow_factor: float = 0.1
@@ -72,6 +74,7 @@
     free: int
     queued: int
     backlog: dict[ids.TenantName, float]
+    next_free: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -149,9 +152,9 @@
         self.send('submit', home.submit, job, dict(self.hints))
 
     def heartbeat(self, worker: 'Worker') -> None:
-        """Report load to the entry after each interval of silence."""
+        """Report load to the entry at intervals."""
         self.hints[worker.number] = worker.load()
-        self.after(HEARTBEAT_SECONDS, self.heartbeat, worker)
+        self.after(self.plan.report_seconds, self.heartbeat, worker)
 
 
 class Coordinator:
@@ -215,13 +218,14 @@
                 self.estimates.speed(name),
                 sum(load.backlog.values()),
                 ejected=ejected,
+                next_free=max(0, load.at + load.next_free - self.model.now),
             )
             if ejected and self.ejector.take_probe(name, self.model.now):
                 candidate = dataclasses.replace(
                     candidate, slots=1, ejected=False
                 )
             for expected in self.pending[number]:
-                candidate.add(expected)
+                candidate.note(expected)
             found.append(candidate)
         return found
 
@@ -378,12 +382,27 @@
         self.queue: queues.FairQueue[Ticket] = queues.FairQueue()
         self.free = SLOTS
         self.running: dict[Ticket, float] = {}
+        self.started: dict[Ticket, tuple[float, float]] = {}
+        self.pace = estimates.Mean()
 
     def load(self) -> Load:
         """Return the load to report."""
         queued = len(self.queue)
         free = max(0, self.free - queued)
-        return Load(self.model.now, free, queued, self.queue.backlog())
+        backlog = self.queue.backlog()
+        return Load(self.model.now, free, queued, backlog, self.next_free())
+
+    def next_free(self) -> float:
+        """Return the expected seconds until a slot is free."""
+        pace = math.exp(self.pace.average)
+        now = self.model.now
+        return min(
+            (
+                estimates.left(expected * pace, now - since)
+                for since, expected in self.started.values()
+            ),
+            default=0,
+        )
 
     def ends(self) -> list[tuple[float, float]]:
         """Return speed and seconds until it is free for every slot."""
@@ -448,12 +467,16 @@
             speed *= plan.slow_factor
         seconds = FAST_FAILURE if failed else work.seconds / speed
         self.running[ticket] = self.model.now + seconds
+        expected = ticket.running.expected[ticket.index or 0]
+        self.started[ticket] = (self.model.now, expected)
         ended = Ended(ticket, seconds, failed)
         self.model.after(seconds, self.end, entry, ended)
 
     def end(self, entry: queues.Entry[Ticket], ended: Ended) -> None:
         """Free the slot, report the end and claim the next task."""
         self.running.pop(ended.ticket)
+        expected = self.started.pop(ended.ticket)[1]
+        self.pace.add(math.log(ended.seconds / expected), self.model.now)
         self.free += 1
         self.model.busy += ended.seconds * self.speed
         self.queue.charge(entry.tenant, ended.seconds, entry.expected)
--- a/src/poplardrum/peers/messages.py
+++ b/src/poplardrum/peers/messages.py
@@ -41,13 +41,17 @@
 
 
 class Load(msgspec.Struct, array_like=True, frozen=True):
-    """Load of one agent; `backlog` is queued seconds by tenant."""
+    """Load of one agent; `backlog` is queued seconds by tenant.
+
+    `next_free` is the expected seconds until a slot is free.
+    """
 
     slots: int
     free: int
     queued: int
     speed: float = 1.0
     backlog: dict[ids.TenantName, float] = {}
+    next_free: float = 0.0
 
 
 class TaskSpec(msgspec.Struct, array_like=True, frozen=True):
--- a/src/poplardrum/scheduling/estimates.py
+++ b/src/poplardrum/scheduling/estimates.py
@@ -30,6 +30,8 @@
 # Squared errors of a predictor that has not been tried; ln(10) squared, for
 # declared times that are wrong by ten times.
 _UNTRIED_ERROR: typing.Final = 5.3
+# Part of the elapsed time that an overdue task is expected to need yet.
+_LONG_TAIL: typing.Final = 0.2
 
 KindKey = tuple[ids.TenantName, ids.KindName]
 PairKey = tuple[ids.TenantName, ids.KindName, ids.MemberId]
@@ -162,5 +164,14 @@
         return stated + row.ratio.shrunk(prior - stated, _PRIOR_WEIGHT)
 
 
+def left(expected: float, elapsed: float) -> float:
+    """Return the expected seconds left of a task that has run for a while.
+
+    A task beyond its expected time is expected to run for a part of the time
+    that it has run already, as for long-tailed times.
+    """
+    return max(expected - elapsed, elapsed * _LONG_TAIL)
+
+
 def _log(seconds: float) -> float:
     return math.log(max(seconds, _MIN_SECONDS))
--- a/src/poplardrum/scheduling/ordering.py
+++ b/src/poplardrum/scheduling/ordering.py
@@ -33,11 +33,13 @@
 class StretchedFinish:
     """Order jobs by arrival plus `stretch` times their ideal time."""
 
-    stretch: float = 2.0
+    stretch: float = 8.0
 
 
 Ordering = FirstCome | ShortestRemaining | StretchedFinish
-DEFAULT: typing.Final[Ordering] = StretchedFinish()
+# Shorter response times than the other two at every load; see
+# docs/decisions/queues.md.
+DEFAULT: typing.Final[Ordering] = ShortestRemaining()
 
 
 @functools.singledispatch
--- a/src/poplardrum/scheduling/placement.py
+++ b/src/poplardrum/scheduling/placement.py
@@ -22,6 +22,8 @@
 
     `backlog` holds the expected seconds of the queued tasks at speed 1, zero
     if only their number is known. `speed` is relative to the usual worker.
+    `next_free` is the expected time in seconds until the first busy slot is
+    free, `None` if the worker does not report it.
     """
 
     worker: ids.MemberId
@@ -32,21 +34,34 @@
     backlog: float = 0.0
     linked: bool = True
     ejected: bool = False
+    next_free: float | None = None
+    planned: float = 0.0
 
     @property
     def usable(self) -> bool:
         """Tell whether new work may go to this worker."""
         return self.linked and not self.ejected and self.slots > 0
 
-    def wait(self) -> float:
-        """Return the expected seconds until a new task would start."""
+    def wait(self, overtaken: float = math.inf) -> float:
+        """Return the expected seconds until a new task would start.
+
+        At most `overtaken` seconds of the queued work go ahead of it.
+        """
         if self.free > 0:
             return 0
-        ahead = self.backlog or self.queued * _TYPICAL_SECONDS
-        return (ahead + _TYPICAL_SECONDS) / (self.slots * self.speed)
-
-    def add(self, expected: float) -> None:
-        """Count a task of `expected` seconds at speed 1 as placed here."""
+        rate = self.slots * self.speed
+        first = self.next_free
+        if first is None:
+            first = _TYPICAL_SECONDS / rate
+        queued = self.backlog or self.queued * _TYPICAL_SECONDS
+        ahead = min(queued, overtaken) + self.planned
+        return first + ahead / rate
+
+    def note(self, expected: float) -> None:
+        """Count a task granted after the last load report.
+
+        `expected` is in seconds at speed 1.
+        """
         if self.free > 0:
             self.free -= 1
             return
@@ -54,6 +69,13 @@
         self.queued += 1
         self.backlog += expected
 
+    def add(self, expected: float) -> None:
+        """Count a task of the job that is being placed."""
+        if self.free > 0:
+            self.free -= 1
+            return
+        self.planned += expected
+
 
 @dataclasses.dataclass(frozen=True)
 class Task:
@@ -100,7 +122,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class LateBinding:
-    """Grant to free slots; reserve elsewhere and bind at the claim."""
+    """Grant to free slots; reserve elsewhere and bind at the claim.
+
+    Jobs are ordered by size in the queues, so that queued work up to
+    `overtaken` times that of the job is expected to go ahead of it. `spare`
+    is the number of reservations beyond the waiting tasks, for each task of
+    the job: each may end in one or two messages without use, and the target
+    is 0.05 of these for each task.
+    """
+
+    overtaken: float = 0.05
+    spare: float = 0.02
 
 
 Policy = RandomTwo | ExpectedFinish | LateBinding
@@ -171,8 +203,9 @@
     if not usable:
         return plan
     reserved: dict[ids.MemberId, list[float]] = {}
+    overtaken = policy.overtaken * sum(task.expected for task in tasks)
     for task in _longest_first(tasks):
-        best = earliest(usable, task.expected)
+        best = earliest(usable, task.expected, overtaken)
         if best.free > 0:
             plan.grants.append(Grant(task.index, best.worker))
         else:
@@ -182,6 +215,14 @@
         Reservation(worker, len(times), math.fsum(times) / len(times))
         for worker, times in reserved.items()
     ]
+    if plan.reservations:
+        count = int(len(tasks) * policy.spare + choice.random())
+        others = [cand for cand in usable if cand.worker not in reserved]
+        others.sort(key=lambda cand: cand.wait(0))
+        plan.reservations.extend(
+            Reservation(cand.worker, 1, plan.reservations[0].expected)
+            for cand in others[:count]
+        )
     return plan
 
 
@@ -203,11 +244,17 @@
     return grants
 
 
-def earliest(usable: list[Candidate], expected: float) -> Candidate:
+def earliest(
+    usable: list[Candidate],
+    expected: float,
+    overtaken: float = math.inf,
+) -> Candidate:
     """Return the candidate where a task is expected to finish first."""
     return min(
         usable,
-        key=lambda candidate: candidate.wait() + expected / candidate.speed,
+        key=lambda candidate: (
+            candidate.wait(overtaken) + expected / candidate.speed
+        ),
     )
 
 
@@ -222,7 +269,7 @@
         return None
     pair = choice.sample(usable, min(2, len(usable)))
     best = min(pair, key=_pressure)
-    best.add(expected)
+    best.note(expected)
     return best
 
 
