--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -56,7 +56,9 @@
     order: float
     waiting: list[int]
     left: int
+    hinted: list[float]
     idle_reserves: set[int] = dataclasses.field(default_factory=set)
+    ends: list['Ended'] = dataclasses.field(default_factory=list)
 
     def tasks(self) -> list[placement.Task]:
         """Return the waiting tasks in the form that placement takes."""
@@ -93,6 +95,7 @@
     ticket: Ticket
     seconds: float
     failed: bool
+    worker: str
 
 
 class Model:
@@ -105,7 +108,8 @@
         self.events: list[tuple[float, int, typing.Any, typing.Any]] = []
         self.serial = itertools.count()
         self.counts: collections.Counter[str] = collections.Counter()
-        self.busy = 0.0
+        self.estimates = estimates.Estimates()
+        self.on_answer: typing.Callable[[Running], None] = _ignore
         self.random = random.Random(plan.seed)
         self.workers = [
             Worker(self, number, speed)
@@ -149,7 +153,27 @@
         slots = [pair for worker in self.workers for pair in worker.ends()]
         job.ideal = job.ideal or workload.ideal_seconds(job, slots)
         home = self.random.choice(self.coordinators)
-        self.send('submit', home.submit, job, dict(self.hints))
+        expected = self.expected(job)
+        self.send('submit', home.submit, job, expected, dict(self.hints))
+
+    def expected(self, job: workload.Job) -> list[float]:
+        """Return what the entry expects of the tasks, from all answers."""
+        return [
+            self.estimates.expected(job.tenant, task.kind, task.declared)
+            for task in job.tasks
+        ]
+
+    def learn(self, running: Running) -> None:
+        """Learn at the entry from the real times of an answered job."""
+        job = running.job
+        for ended in running.ends:
+            if ended.failed:
+                continue
+            work = job.tasks[ended.ticket.index or 0]
+            kind = (job.tenant, work.kind)
+            name = ids.MemberId(ended.worker)
+            seconds = ended.seconds
+            self.estimates.learn(kind, work.declared, name, seconds, self.now)
 
     def heartbeat(self, worker: 'Worker') -> None:
         """Report load to the entry at intervals."""
@@ -157,6 +181,10 @@
         self.after(self.plan.report_seconds, self.heartbeat, worker)
 
 
+def _ignore(running: Running) -> None:
+    """Take an answer that nobody waits for."""
+
+
 class Coordinator:
     """Own jobs, as the coordinator of a real agent does."""
 
@@ -170,11 +198,16 @@
         self.ejector = ejection.Ejector()
         self.jobs: dict[int, Running] = {}
 
-    def submit(self, job: workload.Job, hints: dict[int, Load]) -> None:
+    def submit(
+        self,
+        job: workload.Job,
+        expected: list[float],
+        hints: dict[int, Load],
+    ) -> None:
         """Place all tasks of a new job."""
         for number, load in hints.items():
             self.observe(number, load)
-        running = self.admit(job)
+        running = self.admit(job, expected)
         self.jobs[id(running)] = running
         plan = placement.place(
             self.model.plan.policy,
@@ -184,18 +217,19 @@
         )
         self.carry_out(running, plan)
 
-    def admit(self, job: workload.Job) -> Running:
-        """Estimate a job and its order."""
+    def admit(self, job: workload.Job, expected: list[float]) -> Running:
+        """Estimate a job, from the entry's estimates, and its order."""
+        hints = expected
         expected = [
-            self.estimates.expected(job.tenant, task.kind, task.declared)
-            for task in job.tasks
+            self.estimates.expected(job.tenant, task.kind, hint)
+            for task, hint in zip(job.tasks, expected, strict=True)
         ]
         work = sum(expected)
         ideal = max(*expected, work / self.model.plan.capacity, 0)
         shape = ordering.JobShape(job.arrival, work, ideal)
         order = ordering.order_of(self.model.plan.order, shape)
         count = len(expected)
-        return Running(job, expected, order, list(range(count)), count)
+        return Running(job, expected, order, list(range(count)), count, hints)
 
     def observe(self, number: int, load: Load) -> None:
         """Keep the newest load report of a worker."""
@@ -204,6 +238,11 @@
             self.views[number] = load
             self.pending[number].clear()
 
+    def speed(self, number: int) -> float:
+        """Return the speed of a worker, the entry's estimate as prior."""
+        rated = self.model.estimates.speed(member(number))
+        return self.estimates.speed(member(number), rated)
+
     def candidates(self) -> list[placement.Candidate]:
         """Return the workers as last reported, with own later grants."""
         found = []
@@ -215,7 +254,7 @@
                 SLOTS,
                 load.free,
                 load.queued,
-                self.estimates.speed(name),
+                self.speed(number),
                 sum(load.backlog.values()),
                 ejected=ejected,
                 next_free=max(0, load.at + load.next_free - self.model.now),
@@ -289,7 +328,12 @@
             self.model.counts['wasted'] += wasted
             self.model.send('none', worker.claimed, entry, None)
             return
-        index = max(running.waiting, key=running.expected.__getitem__)
+        speeds = [self.speed(number) for number in self.views]
+        index = placement.pick(
+            running.tasks(),
+            self.speed(worker.number),
+            sum(speeds) / len(speeds),
+        ).index
         running.waiting.remove(index)
         running.idle_reserves.discard(worker.number)
         self.model.send('start', worker.claimed, entry, index)
@@ -299,6 +343,7 @@
         self.observe(worker.number, load)
         running = ended.ticket.running
         self.learn(worker, ended)
+        running.ends.append(ended)
         running.job.failed += ended.failed
         self.count_ended(running, 1)
         if load.free:
@@ -330,8 +375,8 @@
             fleet=len(self.model.workers),
         )
         if not ended.failed:
-            seconds = ended.seconds
-            self.estimates.learn(kind, work.declared, name, seconds, now)
+            hinted = ended.ticket.running.hinted[ended.ticket.index or 0]
+            self.estimates.learn(kind, hinted, name, ended.seconds, now)
 
     def count_ended(self, running: Running, count: int) -> None:
         """Count ended tasks; answer the entry after the last one."""
@@ -341,11 +386,13 @@
         self.jobs.pop(id(running))
         self.model.counts['wasted'] += len(running.idle_reserves)
         load = self.model.workers[self.number].load()
-        self.model.send('reply', self.answer, running.job, load)
+        self.model.send('reply', self.answer, running, load)
 
-    def answer(self, job: workload.Job, load: Load) -> None:
+    def answer(self, running: Running, load: Load) -> None:
         """Take the answer at the entry, with the agent's load."""
-        job.answered = self.model.now
+        running.job.answered = self.model.now
+        self.model.learn(running)
+        self.model.on_answer(running)
         self.model.hints[self.number] = load
 
     def top_up(self, reporter: ids.MemberId) -> None:
@@ -469,7 +516,7 @@
         self.running[ticket] = self.model.now + seconds
         expected = ticket.running.expected[ticket.index or 0]
         self.started[ticket] = (self.model.now, expected)
-        ended = Ended(ticket, seconds, failed)
+        ended = Ended(ticket, seconds, failed, str(self.number))
         self.model.after(seconds, self.end, entry, ended)
 
     def end(self, entry: queues.Entry[Ticket], ended: Ended) -> None:
@@ -478,7 +525,6 @@
         expected = self.started.pop(ended.ticket)[1]
         self.pace.add(math.log(ended.seconds / expected), self.model.now)
         self.free += 1
-        self.model.busy += ended.seconds * self.speed
         self.queue.charge(entry.tenant, ended.seconds, entry.expected)
         home = ended.ticket.home
         following = self.take()
--- a/src/poplardrum/scheduling/admission.py
+++ b/src/poplardrum/scheduling/admission.py
@@ -41,7 +41,9 @@
 
 @dataclasses.dataclass(frozen=True)
 class Request:
-    """A new job: expected slot-seconds, tasks, seconds to its deadline."""
+    """A new job: its tasks, its expected slot-seconds at speed 1, its longest
+    task in seconds as far as it is known by experience, and the seconds to
+    its deadline."""
 
     tenant: ids.TenantName
     tasks: int
--- a/src/poplardrum/scheduling/estimates.py
+++ b/src/poplardrum/scheduling/estimates.py
@@ -30,6 +30,7 @@
 # Squared errors of a predictor that has not been tried; ln(10) squared, for
 # declared times that are wrong by ten times.
 _UNTRIED_ERROR: typing.Final = 5.3
+_TRUSTED_WEIGHT: typing.Final = 3.0
 # Part of the elapsed time that an overdue task is expected to need yet.
 _LONG_TAIL: typing.Final = 0.2
 
@@ -98,6 +99,14 @@
         row = self.kinds.find((tenant, kind))
         return math.exp(self._base(tenant, row, _log(declared)))
 
+    def trusted(self, tenant: ids.TenantName, kind: ids.KindName) -> bool:
+        """Tell whether enough was learned to refuse work by its time.
+
+        Declared times alone are not: they are wrong by up to ten times.
+        """
+        row = self.kinds.find((tenant, kind))
+        return row is not None and row.plain.weight >= _TRUSTED_WEIGHT
+
     def speed(self, worker: ids.MemberId, rated: float = 1.0) -> float:
         """Return the speed of a worker; `rated` is its prior."""
         row = self.workers.find(worker)
--- a/src/poplardrum/scheduling/placement.py
+++ b/src/poplardrum/scheduling/placement.py
@@ -14,6 +14,8 @@
 # Tasks that wait ahead of a new one run for this long each when the worker
 # reports a number of tasks but no backlog in seconds.
 _TYPICAL_SECONDS: typing.Final = 0.3
+# A worker below this part of the usual speed counts as slow.
+_SLOW_PART: typing.Final = 0.9
 
 
 @dataclasses.dataclass
@@ -244,6 +246,18 @@
     return grants
 
 
+def pick(tasks: list[Task], speed: float, usual_speed: float) -> Task:
+    """Return the waiting task for a worker that claims one of a job.
+
+    A slow worker takes the shortest one, so that no long task starts there
+    at the end of a job; any other takes the longest. Raises `ValueError` if
+    no task waits.
+    """
+    if speed < _SLOW_PART * usual_speed:
+        return min(tasks, key=_expected)
+    return max(tasks, key=_expected)
+
+
 def earliest(
     usable: list[Candidate],
     expected: float,
@@ -277,8 +291,12 @@
     return (candidate.queued + 1 - candidate.free) / candidate.slots
 
 
+def _expected(task: Task) -> float:
+    return task.expected
+
+
 def _longest_first(tasks: list[Task]) -> list[Task]:
-    return sorted(tasks, key=lambda task: task.expected, reverse=True)
+    return sorted(tasks, key=_expected, reverse=True)
 
 
 def _shuffled(
