Judge the wait only of tenants beyond their share

A wait limit that holds for every tenant also refused the bursts of tenants within their share. Usage is now averaged over 5 s, and the expected rate is what the other tenants leave.

--- a/src/poplardrum/scheduling/admission.py
+++ b/src/poplardrum/scheduling/admission.py
@@ -19,6 +19,10 @@
 # Work just admitted is counted until load reports show it. Reports come at
 # least every 2 s, the heartbeat interval.
 _UNSEEN_SECONDS: typing.Final = 2.0
+# Usage is averaged over this time, a few gaps between a tenant's jobs.
+_USAGE_SECONDS: typing.Final = 5.0
+# Part of the capacity below which the other tenants count as inactive.
+_IDLE_PART: typing.Final = 0.01
 # Refused callers are told a time up to this much longer, so that they do not
 # all return at once.
 _JITTER: typing.Final = 0.5
@@ -88,7 +92,21 @@
     parts: tuple[float, ...] = (0.2, 0.4, 0.6, 0.8)
 
 
-Rule = CapacityRate | ExpectedWait | GradedReduction
+@dataclasses.dataclass(frozen=True)
+class Headroom:
+    """Limit the wait, and leave slots free while other tenants are active.
+
+    Beyond its share, a tenant is admitted only up to the capacity that the
+    others leave, less the part `spare` of the capacity. Without it, lent
+    slots are all busy when another tenant's job arrives.
+    """
+
+    limit: float = 2.0
+    burst: float = 1.0
+    spare: float = 0.3
+
+
+Rule = CapacityRate | ExpectedWait | GradedReduction | Headroom
 
 
 @dataclasses.dataclass(slots=True)
@@ -101,6 +119,27 @@
     unseen_at: float = 0
     level: float = 0
     level_at: float = 0
+    used: float = 0
+    used_at: float = 0
+
+    def usage(self, now: float) -> float:
+        """Return the recently admitted slot-seconds per second."""
+        age = max(0, now - self.used_at)
+        return self.used * math.exp(-age / _USAGE_SECONDS)
+
+    def fill(self, rate: float, burst: float, view: 'View') -> float:
+        """Fill a leaky bucket; return the excess in seconds if it is full.
+
+        It drains at `rate` slot-seconds a second and holds `burst` seconds.
+        """
+        drained = max(0, view.now - self.level_at) * rate
+        self.level = max(0, self.level - drained)
+        self.level_at = view.now
+        excess = self.level / rate - burst
+        if excess > 0:
+            return excess
+        self.level += view.request.work
+        return 0
 
     def pending(self, now: float) -> float:
         """Return the admitted work that load reports do not show yet."""
@@ -108,19 +147,39 @@
         return self.unseen * max(0, 1 - age / _UNSEEN_SECONDS)
 
 
+@dataclasses.dataclass(frozen=True)
+class Rates:
+    """Rates in slot-seconds of speed 1 per second.
+
+    `total` is the capacity, `share` the tenant's part of it among the active
+    tenants, `others` what the other tenants used of late.
+    """
+
+    total: float
+    share: float
+    others: float
+
+    @property
+    def expected(self) -> float:
+        """Return the rate at which the tenant's work is expected to run."""
+        return max(self.share, self.total - self.others)
+
+
 @dataclasses.dataclass(frozen=True)
 class View:
-    """What a rule judges by: the tenant's state and its expected wait.
+    """What a rule judges by; `wait` is the expected one in seconds.
 
-    `rate` is in slot-seconds of speed 1 per second, `wait` in seconds.
+    `within` tells that the tenant has used no more than its share, this job
+    included.
     """
 
     state: TenantState
     request: Request
-    rate: float
+    rates: Rates
     wait: float
     now: float
     chance: float
+    within: bool
 
 
 @functools.singledispatch
@@ -131,24 +190,34 @@
 
 @judge.register
 def _capacity_rate(rule: CapacityRate, view: View) -> float:
-    state = view.state
-    drained = max(0, view.now - state.level_at) * view.rate
-    state.level = max(0, state.level - drained)
-    state.level_at = view.now
-    excess = state.level / view.rate - rule.burst
-    if excess > 0:
-        return excess
-    state.level += view.request.work
-    return 0
+    return view.state.fill(view.rates.expected, rule.burst, view)
+
+
+@judge.register
+def _headroom(rule: Headroom, view: View) -> float:
+    if view.within:
+        return 0
+    late = view.wait - rule.limit
+    if late > 0:
+        return late
+    rates = view.rates
+    if rates.others <= 0:
+        return 0
+    lent = rates.total * (1 - rule.spare) - rates.others
+    return view.state.fill(max(rates.share, lent), rule.burst, view)
 
 
 @judge.register
 def _expected_wait(rule: ExpectedWait, view: View) -> float:
+    if view.within:
+        return 0
     return max(0, view.wait - rule.limit)
 
 
 @judge.register
 def _graded(rule: GradedReduction, view: View) -> float:
+    if view.within:
+        return 0
     step = rule.limit / (len(rule.parts) + 1)
     passed = int(view.wait / step)
     if not passed:
@@ -205,6 +274,8 @@
         self._check_load(view)
         state.unseen = state.pending(now) + request.work
         state.unseen_at = now
+        state.used = state.usage(now) + request.work / _USAGE_SECONDS
+        state.used_at = now
         state.jobs += 1
         state.tasks += request.tasks
 
@@ -223,7 +294,7 @@
         """Return the expected seconds until new work of a tenant starts."""
         state = self.states.get(tenant, TenantState())
         backlog = self._backlog(tenant, state, capacity, now)
-        return backlog / self._rate(tenant, capacity)
+        return backlog / self._rates(tenant, capacity, now).expected
 
     def _check_quota(
         self,
@@ -271,10 +342,18 @@
         capacity: Capacity,
         now: float,
     ) -> View:
-        rate = self._rate(request.tenant, capacity)
+        rates = self._rates(request.tenant, capacity, now)
         backlog = self._backlog(request.tenant, state, capacity, now)
-        chance = self.choice.random()
-        return View(state, request, rate, backlog / rate, now, chance)
+        usage = state.usage(now) + request.work / _USAGE_SECONDS
+        return View(
+            state=state,
+            request=request,
+            rates=rates,
+            wait=backlog / rates.expected,
+            now=now,
+            chance=self.choice.random(),
+            within=usage <= rates.share,
+        )
 
     def _backlog(
         self,
@@ -288,18 +367,35 @@
         unseen = max(0, state.pending(now) - capacity.free)
         return reported + unseen
 
-    def _rate(self, tenant: ids.TenantName, capacity: Capacity) -> float:
-        active = {
+    def _rates(
+        self,
+        tenant: ids.TenantName,
+        capacity: Capacity,
+        now: float,
+    ) -> Rates:
+        usage = {
+            name: state.usage(now)
+            for name, state in self.states.items()
+            if name != tenant
+        }
+        least = capacity.slot_rate * _IDLE_PART
+        active = {name for name, used in usage.items() if used > least}
+        active.update(
             name
             for name, backlog in capacity.backlog.items()
             if backlog > _IDLE_BACKLOG
-        }
+        )
         shares = math.fsum(
             self.limit_table.get(name, TenantLimits()).share
             for name in active | {tenant}
         )
         own = self.limit_table.get(tenant, TenantLimits()).share
-        return capacity.slot_rate * own / shares
+        others = math.fsum(usage[name] for name in active & usage.keys())
+        return Rates(
+            capacity.slot_rate,
+            capacity.slot_rate * own / shares,
+            others,
+        )
 
     def _jittered(self, delay: float) -> float:
         spread = 1 + self.choice.random() * _JITTER
