--- a/src/poplardrum/commands/config.py
+++ b/src/poplardrum/commands/config.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from poplardrum import errors, ids
-from poplardrum.operators import client, document, edits, folder, routes
+from poplardrum.operators import client, document, edits, folder
+from poplardrum.operators import status as system_status
 
 _POLL_SECONDS: typing.Final = 0.2
 _GONE: typing.Final = 'gone'
@@ -110,11 +111,13 @@
     return Exit.done
 
 
-def _is_late(member: routes.MemberStatus, number: ids.ConfigNumber) -> bool:
+def _is_late(
+    member: system_status.MemberStatus, number: ids.ConfigNumber
+) -> bool:
     return not member.linked or member.config < number
 
 
-def _print_members(members: list[routes.MemberStatus]) -> None:
+def _print_members(members: list[system_status.MemberStatus]) -> None:
     for member in sorted(members, key=lambda item: item.id):
         number = str(member.config) if member.linked else 'not linked'
         print(f'{member.id:24} {member.role:6} {member.state:8} {number}')
--- a/src/poplardrum/operators/client.py
+++ b/src/poplardrum/operators/client.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from poplardrum import errors, ini
-from poplardrum.operators import document, edits, routes
+from poplardrum.operators import document, edits, status
 
 _TIMEOUT_SECONDS: typing.Final = 30.0
 _OK: typing.Final = 200
@@ -50,9 +50,9 @@
         data = await self._call('GET', 'config')
         return _decoded(data, document.Document)
 
-    async def status(self) -> routes.Status:
+    async def status(self) -> status.Status:
         """Return the members with their configuration numbers."""
-        return _decoded(await self._call('GET', 'status'), routes.Status)
+        return _decoded(await self._call('GET', 'status'), status.Status)
 
     async def edit(self, edit: edits.Edit) -> document.Document:
         """Send an edit; return the document that holds it."""
