Keep the connection open after a reply to broken HTTP

The entry closed the connection with the reply while a caller could still be sending, and the reset then overtook the reply: seen once as a failed test_wrong_input. The connection now stays for up to 1 s or until the caller closes. The binary is tested with the interpreter under the virtual environment, whose packages had hidden one that was missing in the file.

--- a/src/poplardrum/callers/guard.py
+++ b/src/poplardrum/callers/guard.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import logging
+import time
 import typing
 
 from aiohttp import web
@@ -14,6 +15,8 @@
 
 _SERVER_ERROR: typing.Final = 500
 _TOO_LARGE: typing.Final = 413
+_LINGER_SECONDS: typing.Final = 1.0
+_LINGER_STEP: typing.Final = 0.05
 
 Handler = typing.Callable[
     [web.Request],
@@ -21,6 +24,27 @@
 ]
 
 
+class LingeringResponse(web.Response):
+    """Keep the connection open for a moment after the reply.
+
+    A close while the caller still sends resets the connection, and the
+    reset can overtake the reply.
+    """
+
+    connection: asyncio.Transport | None = None
+
+    async def write_eof(self, data: bytes = b'') -> None:
+        """Send the reply and wait until the caller closes, up to 1 s."""
+        await super().write_eof(data)
+        transport = self.connection
+        if transport is None or transport.is_closing():
+            return
+        transport.write_eof()
+        deadline = time.monotonic() + _LINGER_SECONDS
+        while not transport.is_closing() and time.monotonic() < deadline:
+            await asyncio.sleep(_LINGER_STEP)
+
+
 class CodedHandler(web.RequestHandler):
     """Answer requests that cannot be parsed with a coded reply."""
 
@@ -43,7 +67,13 @@
         else:
             logger.info('request is not HTTP: %r', exc)
             error = errors.refusal(errors.Code.bad_request, message or 'HTTP')
-        response = replies.from_error(error, status=status)
+        reply = replies.from_error(error, status=status)
+        response = LingeringResponse(
+            body=reply.body,
+            status=status,
+            content_type=reply.content_type,
+        )
+        response.connection = request.transport
         response.force_close()
         return response
 
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -33,10 +33,11 @@
             cls.stack.enter_context(tempfile.TemporaryDirectory()),
         )
         cls.binary = cls.folder / 'poplardrum'
-        # Without PYTHONPATH, only what the file holds can be imported.
+        # With the interpreter under the virtual environment and without
+        # PYTHONPATH, only what the file holds can be imported.
         cls.environment = {
             'PATH': os.pathsep.join(
-                [str(pathlib.Path(sys.executable).parent), os.defpath],
+                [str(pathlib.Path(sys.base_prefix) / 'bin'), os.defpath],
             ),
             'SHIV_ROOT': str(cls.folder / 'unpacked'),
         }
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -77,7 +77,13 @@
         'too many tasks', 413, 'too_many_tasks', {'tasks': GOOD['tasks'] * 21}
     ),
     Case('payload too large', 413, 'too_large', task(payload='x' * 8193)),
-    Case('payload bytes', 413, 'too_large', task(payload='é' * 4097)),
+    Case(
+        'payload bytes',
+        413,
+        'too_large',
+        json.dumps(task(payload='é' * 4097), ensure_ascii=False).encode(),
+        mentions='payload',
+    ),
     Case('body too large', 413, 'too_large', task(payload='x' * 21_000)),
     Case(
         'no credential',
@@ -217,6 +223,19 @@
                 received += part
         return json.loads(received.partition(b'\r\n\r\n')[2])
 
+    def test_late_body(self) -> None:
+        """Guards against a reply that is lost because the body comes late."""
+        head = b'POST /v1/jobs HTTP/1.1\r\nContent-Length: x\r\n\r\n'
+        for _ in range(5):
+            with self.connect() as connection:
+                connection.sendall(head)
+                # The reply is on its way before the rest is sent.
+                connection.recv(1, socket.MSG_PEEK)
+                for _ in range(4):
+                    connection.sendall(b'x' * 1000)
+                received = connection.recv(65536)
+            self.assertIn(b'bad_request', received)
+
     def test_chunked_body(self) -> None:
         """Guards against a chunked body that is read in part."""
         body = json.dumps(GOOD).encode()
