--- a/bench/figures.py
+++ b/bench/figures.py
@@ -5,6 +5,8 @@
 
 from poplardrum.standins import http
 
+_OK: typing.Final = 200
+
 
 class Figure(typing.NamedTuple):
     """One measured value; `bound` is `None` for values without a target."""
@@ -72,8 +74,13 @@
 
 
 def counters(address: str) -> dict[str, float]:
-    """Return all counters at `/metrics`, labels summed by name."""
-    _, text = http.call('GET', f'http://{address}/metrics')
+    """Return all counters at `/metrics`, labels summed by name.
+
+    Raises `OSError` when the process does not answer with its figures.
+    """
+    status, text = http.call('GET', f'http://{address}/metrics')
+    if status != _OK:
+        raise OSError(f'{address}/metrics: {status} {text}')
     found: dict[str, float] = {}
     for line in str(text).splitlines():
         if line.startswith('#'):
