Show ejections in the status

Load has a field for the workers that a coordinator has ejected; the status of an entry lists the coordinators by worker.

--- a/src/poplardrum/operators/status.py
+++ b/src/poplardrum/operators/status.py
@@ -5,7 +5,6 @@
 
 import msgspec
 
-from poplardrum import ids
 from poplardrum.peers import links, messages
 
 if typing.TYPE_CHECKING:
@@ -72,9 +71,7 @@
         state='leaving' if process.stopping.is_set() else 'ready',
         config=process.configuration.number,
         requests=process.requests,
-        members=[
-            _member(process, member) for member in process.known_members()
-        ],
+        members=members(process),
         tenants=_tenants(process),
         latency=[
             LatencyStatus(
@@ -87,6 +84,11 @@
     )
 
 
+def members(process: 'entry.Entry') -> list[MemberStatus]:
+    """Return all members that this entry knows."""
+    return [_member(process, member) for member in process.known_members()]
+
+
 def _member(
     process: 'entry.Entry',
     member: messages.Member,
@@ -110,17 +112,11 @@
         ejected_by=[
             other.member.id
             for other in process.links.values()
-            if member.id in ejected_by(other)
+            if member.id in _load(other).ejected
         ],
     )
 
 
-def ejected_by(link: links.Link) -> typing.Collection[ids.MemberId]:
-    """Return the workers that the agent of a link sends no tasks now."""
-    found: typing.Collection[ids.MemberId] = getattr(link.load, 'ejected', ())
-    return found
-
-
 def _load(link: links.Link | None) -> messages.Load:
     return (link.load if link else None) or messages.Load(0, 0, 0)
 
--- a/src/poplardrum/peers/messages.py
+++ b/src/poplardrum/peers/messages.py
@@ -41,13 +41,17 @@
 
 
 class Load(msgspec.Struct, array_like=True, frozen=True):
-    """Load of one agent; `backlog` is queued seconds by tenant."""
+    """Load of one agent; `backlog` is queued seconds by tenant.
+
+    `ejected` lists the workers that this coordinator sends no tasks now.
+    """
 
     slots: int
     free: int
     queued: int
     speed: float = 1.0
     backlog: dict[ids.TenantName, float] = {}
+    ejected: list[ids.MemberId] = []
 
 
 class TaskSpec(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,8 +9,12 @@
 import tempfile
 import typing
 import unittest
+import unittest.mock
 
+from poplardrum import ids
 from poplardrum.commands import status, tables
+from poplardrum.operators import status as build
+from poplardrum.peers import links, messages
 from poplardrum.standins import data, fleet, ports
 
 MEMBER: typing.Final = {
@@ -168,3 +172,42 @@
         done = run('demo')
         self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
         self.assertIn('starts per task', done.stdout)
+
+
+class StatusBodyTest(unittest.TestCase):
+    """Guards against members that the entry's status misrepresents."""
+
+    def test_ejection(self) -> None:
+        """Guards against an ejection that coordinators report in vain."""
+        members = {
+            name: messages.Member(
+                ids.MemberId(name),
+                messages.Role.agent,
+                ids.Incarnation('x'),
+                '127.0.0.1',
+                1,
+                'great-lakes',
+                'erie',
+            )
+            for name in ('agent-0', 'agent-1', 'agent-2')
+        }
+        process = unittest.mock.MagicMock()
+        process.known_members.return_value = list(members.values())
+        process.inbound = {}
+        process.configuration.number = 3
+        process.links = {}
+        for member in members.values():
+            link = links.Link(member, dialed=True)
+            link.load = messages.Load(8, 8, 0)
+            process.links[member.id] = link
+        process.links['agent-0'].load = messages.Load(
+            8,
+            8,
+            0,
+            ejected=[ids.MemberId('agent-2')],
+        )
+        found = {row.id: row.ejected_by for row in build.members(process)}
+        self.assertEqual(
+            found,
+            {'agent-0': [], 'agent-1': [], 'agent-2': ['agent-0']},
+        )
