Use an environment that is named by VENV as it is

make unit VENV=... of a fresh checkout installed into the shared environment again, since its requirements files are newer than the stamp.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,13 @@
 
 all: test
 
+# An environment given as VENV=... is used as it is: several checkouts share
+# one, and file times of each checkout would install into it again.
+ifeq ($(VENV),.venv)
 venv: $(VENV)/.installed
+else
+venv:
+endif
 
 $(VENV)/.installed: requirements.txt requirements-dev.txt
 	python3 -m venv $(VENV)
