--- a/src/poplardrum/peers/messages.py
+++ b/src/poplardrum/peers/messages.py
@@ -44,6 +44,7 @@
     """Load of one agent; `backlog` is queued seconds by tenant.
 
     `next_free` is the expected seconds until a slot is free.
+    `ejected` lists the workers that this coordinator sends no tasks now.
     """
 
     slots: int
@@ -52,6 +53,7 @@
     speed: float = 1.0
     backlog: dict[ids.TenantName, float] = {}
     next_free: float = 0.0
+    ejected: list[ids.MemberId] = []
 
 
 class TaskSpec(msgspec.Struct, array_like=True, frozen=True):
