--- a/src/poplardrum/standins/platform.py
+++ b/src/poplardrum/standins/platform.py
@@ -49,6 +49,7 @@
         self.outage = False
         self.delay = 0.0
         self.lose_answers = 0
+        self.closing = False
         self.calls: collections.Counter[str] = collections.Counter()
 
     def application(self) -> web.Application:
@@ -57,6 +58,7 @@
             middlewares=[self.switches],
             client_max_size=2**21,
         )
+        app.on_shutdown.append(self.shut_down)
         app.add_routes(
             [
                 web.get('/v1/kv/{key:.*}', self.get),
@@ -105,6 +107,9 @@
         while after and self.newest(key, prefix=prefix) <= after:
             if not await self.wait_change(deadline - time.monotonic()):
                 break
+            if request.transport is None:
+                # The client has gone; its watch must not outlive it.
+                break
         rows = [
             _row(name, stored)
             for name, stored in self.matching(key, prefix=prefix)
@@ -224,6 +229,11 @@
                 self.state.index += 1
         await self.notify()
 
+    async def shut_down(self, app: web.Application) -> None:
+        """End the waiting watches, which would hold up a planned stop."""
+        self.closing = True
+        await self.notify()
+
     async def notify(self) -> None:
         """Wake all waiting watches."""
         async with self.changed:
@@ -231,14 +241,14 @@
 
     async def wait_change(self, seconds: float) -> bool:
         """Wait for a change; `False` after `seconds` or in an outage."""
-        if seconds <= 0 or self.outage:
+        if seconds <= 0 or self.outage or self.closing:
             return False
         async with self.changed:
             try:
                 await asyncio.wait_for(self.changed.wait(), min(seconds, 1.0))
             except TimeoutError:
                 return True
-        return not self.outage
+        return not (self.outage or self.closing)
 
 
 def _seconds(text: str) -> float:
