--- a/src/poplardrum/standins/platform.py
+++ b/src/poplardrum/standins/platform.py
@@ -85,6 +85,8 @@
         if not request.path.startswith('/v1/'):
             return typing.cast(web.StreamResponse, await handler(request))
         self.calls[request.method] += 1
+        # A write that was sent takes effect even if its caller has given up.
+        await request.read()
         if self.delay:
             await asyncio.sleep(self.delay)
         if self.outage:
