Send a changed document to a peer once instead of by every process

Each entry sent the document to each agent, and each agent to each entry that heard of it a moment later: at 700 workers and a document of about 100 KB that is 70 MB to an entry for one edit. The senders now take turns and skip a peer whose frames carry the number.

--- a/src/poplardrum/daemons/configuration.py
+++ b/src/poplardrum/daemons/configuration.py
@@ -4,6 +4,7 @@
 import logging
 import time
 import typing
+import zlib
 
 import msgspec
 
@@ -19,6 +20,11 @@
 
 _WATCH_SECONDS: typing.Final = 55.0
 _TICK_SECONDS: typing.Final = 0.2
+# Entries learn of a change from the platform; an agent tells them only if
+# they have not heard of it by then. The spread lets the first of 700 agents
+# spare the others the document.
+_AGENT_PAUSE: typing.Final = 2.0
+_RANK_PAUSE: typing.Final = 0.1
 _RETRY_SECONDS: typing.Final = 0.5
 
 
@@ -56,16 +62,52 @@
 
 
 def offer(process: 'node.Node', link: links.Link) -> bool:
-    """Send the document to a peer that runs by a lower number."""
+    """Send the document soon to a peer that runs by a lower number.
+
+    Without a pause every entry would send it to every agent, and every
+    agent to every entry that learns of it a moment later. The peer's next
+    frame tells that another process was faster.
+    """
     number = process.configuration.number
     if link.config >= number or link.offered >= number:
         return False
     if messages.Role.entry not in {process.member.role, link.member.role}:
         return False
+    pause = _offer_pause(process, link)
+    link.offered = number
+    if pause:
+        loop = asyncio.get_running_loop()
+        loop.call_later(pause, _send_if_behind, process, link)
+        return False
     _send(process, link)
     return True
 
 
+def _offer_pause(process: 'node.Node', link: links.Link) -> float:
+    if process.member.role is messages.Role.agent:
+        return process.random.uniform(_TICK_SECONDS, _AGENT_PAUSE)
+    if link.member.role is messages.Role.entry:
+        return process.random.uniform(_TICK_SECONDS, 1)
+    agent = link.member.id
+    own = _weight(agent, process.member.id)
+    ahead = sum(
+        _weight(agent, member.id) < own
+        for member in process.known_members()
+        if member.role is messages.Role.entry
+        and member.state is not messages.MemberState.gone
+    )
+    return min(ahead * _RANK_PAUSE, 1)
+
+
+def _weight(agent: str, entry: str) -> int:
+    return zlib.crc32(f'{agent} {entry}'.encode())
+
+
+def _send_if_behind(process: 'node.Node', link: links.Link) -> None:
+    if link.config < process.configuration.number:
+        _send(process, link)
+
+
 def _send(process: 'node.Node', link: links.Link) -> None:
     held = process.configuration.document
     link.offered = held.number
