--- a/tests/test_configuration_apply.py
+++ b/tests/test_configuration_apply.py
@@ -206,3 +206,13 @@
                     [row.name for row in found.conflicts],
                     conflicting,
                 )
+
+    def test_bases(self) -> None:
+        """Guards against a base for a file that only others have seen."""
+        stored = document.Document(
+            files={
+                name: document.RuleFile('x', ids.ConfigNumber(7))
+                for name in ('a', 'b', 'c')
+            },
+        )
+        self.assertEqual(folder.bases({'a': 'x', 'b': 'y'}, stored), {'a': 7})
