--- /dev/null
+++ b/tests/execution_model.py
@@ -0,0 +1,338 @@
+"""Model of coordinators, workers and links for tests without a loop."""
+
+import collections
+import dataclasses
+import typing
+
+from poplardrum import errors, ids
+from poplardrum.daemons import grants, recalls, reservations, slots
+from poplardrum.daemons import job as jobs
+from poplardrum.peers import messages
+
+LEASE: typing.Final = 10.0
+SLOTS: typing.Final = 2
+
+
+@dataclasses.dataclass
+class Letter:
+    """One item on its way; `epoch` names the link that carries it."""
+
+    item: typing.Any
+    sent: float
+    epoch: int
+
+
+@dataclasses.dataclass
+class Wire:
+    """Link of one coordinator to one worker; 0 stands for no link."""
+
+    near: int = 0
+    far: int = 0
+    down: collections.deque[Letter] = dataclasses.field(
+        default_factory=collections.deque,
+    )
+    back: collections.deque[Letter] = dataclasses.field(
+        default_factory=collections.deque,
+    )
+
+
+class CoordinatorModel:
+    """A coordinator's decisions with its sends put on wires."""
+
+    def __init__(self, world: 'World', name: str, number: int) -> None:
+        """Start one incarnation."""
+        self.world = world
+        self.name = ids.MemberId(name)
+        self.incarnation = ids.Incarnation(f'{name}-{number}')
+        self.grants = grants.Grants(self, self.name, self.incarnation)
+
+    def send(self, worker: ids.MemberId, item: messages.AnyItem) -> bool:
+        """Put an item on the wire if the link is up on this side."""
+        wire = self.world.wire(self.name, worker)
+        if not wire.near:
+            return False
+        wire.down.append(Letter(item, self.world.now, wire.near))
+        return True
+
+    def finished(self, job: jobs.Job) -> None:
+        """Keep the answer; a second one is an error."""
+        if job.id in self.world.answers:
+            raise AssertionError(f'{job.id} was answered twice')
+        self.world.answers[job.id] = jobs.build_answer(job)
+
+    def receive(self, worker: ids.MemberId, item: typing.Any) -> None:
+        """Handle an item from a worker as the process does."""
+        if isinstance(item, messages.Done):
+            self.grants.done(worker, item.task, item.outcome)
+        elif isinstance(item, messages.NotStarted):
+            self.grants.not_started(worker, item)
+        elif isinstance(item, messages.TaskRunning):
+            self.grants.running(worker, item.tasks)
+        elif isinstance(item, messages.Claim):
+            self.answer_claim(worker, item)
+
+    def answer_claim(
+        self,
+        worker: ids.MemberId,
+        item: messages.Claim,
+    ) -> None:
+        """Grant a waiting task or say that none waits."""
+        job = reservations.best_waiting(self.grants.jobs, item.tenant)
+        if job is None:
+            self.send(worker, messages.NoTask(item.job, item.claim))
+        else:
+            self.grant(job, worker, item.claim)
+
+    def grant(
+        self,
+        job: jobs.Job,
+        worker: ids.MemberId,
+        claim: int = 0,
+    ) -> None:
+        """Grant the first waiting task."""
+        target = grants.Target(
+            job.waiting[0],
+            worker,
+            self.world.workers[worker].incarnation,
+            1000 * LEASE,
+            claim,
+        )
+        self.grants.grant(job, target, self.world.now)
+
+
+class WorkerModel:
+    """A worker's decisions; its endpoint ends tasks when it is told to."""
+
+    def __init__(self, world: 'World', name: str, number: int) -> None:
+        """Start one incarnation with an endpoint that offers its slots."""
+        self.world = world
+        self.name = ids.MemberId(name)
+        self.incarnation = ids.Incarnation(f'{name}-{number}')
+        self.paused = False
+        self.at_endpoint: dict[ids.TaskId, slots.Held] = {}
+        self.slots = slots.Slots(self, slots.Bounds(50, 100, 10_000))
+        self.slots.offer(SLOTS, world.now)
+
+    def send(self, owner: slots.Owner, item: messages.AnyItem) -> bool:
+        """Put an item on the wire if the link is up on this side."""
+        wire = self.world.wire(owner.member, self.name)
+        current = self.world.coordinators[owner.member]
+        if not wire.far or owner.incarnation != current.incarnation:
+            return False
+        wire.back.append(Letter(item, self.world.now, wire.far))
+        return True
+
+    def expected(self, item: messages.Start) -> float:
+        """Return the declared time."""
+        return item.spec.declared_ms / 1000
+
+    def run(self, held: slots.Held) -> None:
+        """Count a start and check that it was allowed."""
+        self.world.started(held)
+        self.at_endpoint[held.task] = held
+        if len(self.at_endpoint) > SLOTS:
+            raise AssertionError('more tasks than slots')
+
+    def stop(self, held: slots.Held) -> None:
+        """End the task at once, as the endpoint does."""
+        self.finish(held.task, errors.Code.cancelled)
+
+    def finish(self, task: ids.TaskId, code: errors.Code) -> None:
+        """End a task that runs."""
+        held = self.at_endpoint.pop(task)
+        outcome = messages.TaskOutcome(errors.Verdict.ran, code, seconds=0.1)
+        self.slots.ended(held, outcome, self.world.now)
+
+    def receive(self, owner: slots.Owner, letter: Letter) -> None:
+        """Handle an item from a coordinator as the process does."""
+        now = self.world.now
+        item = letter.item
+        age = now - letter.sent
+        if isinstance(item, messages.Start):
+            self.slots.accept(item, age, now)
+        elif isinstance(item, messages.Reserve):
+            self.slots.reserve(item, owner, now)
+        elif isinstance(item, messages.NoTask):
+            self.slots.no_task(item, owner, now)
+        else:
+            self.recall(owner, item, age)
+
+    def recall(self, owner: slots.Owner, item: typing.Any, age: float) -> None:
+        """Answer for tasks that a coordinator asks after."""
+        decide: typing.Any = recalls.withdraw
+        granted_at = float('-inf')
+        if isinstance(item, messages.StopTasks):
+            decide = recalls.stop
+        if isinstance(item, messages.QueryTasks):
+            decide = recalls.query
+            granted_at = self.world.now - age - item.age_ms / 1000
+            if item.worker_incarnation != self.incarnation:
+                granted_at = float('-inf')
+        for task, grant in zip(item.tasks, item.grants, strict=True):
+            recall = recalls.Recall(owner, task, grant, granted_at)
+            decide(self.slots, recall, self.world.now)
+        self.slots.pump(self.world.now)
+
+
+class World:
+    """All processes, their wires, and what was seen of every task."""
+
+    def __init__(self) -> None:
+        """Start two coordinators and two workers, linked."""
+        self.now = 1000.0
+        self.numbers = iter(range(1, 1_000_000))
+        self.starts: collections.Counter[ids.TaskId] = collections.Counter()
+        self.answers: dict[ids.JobId, messages.Answer] = {}
+        self.submitted: dict[ids.JobId, ids.MemberId] = {}
+        self.wires: dict[tuple[str, str], Wire] = {}
+        self.coordinators = {
+            ids.MemberId(name): CoordinatorModel(self, name, 0)
+            for name in ('c0', 'c1')
+        }
+        self.workers = {
+            ids.MemberId(name): WorkerModel(self, name, 0)
+            for name in ('w0', 'w1')
+        }
+        for pair in self.pairs():
+            self.connect(*pair)
+
+    def pairs(self) -> list[tuple[ids.MemberId, ids.MemberId]]:
+        """Return all pairs of a coordinator and a worker."""
+        return [
+            (coordinator, worker)
+            for coordinator in self.coordinators
+            for worker in self.workers
+        ]
+
+    def wire(self, coordinator: str, worker: str) -> Wire:
+        """Return the wire between two processes."""
+        return self.wires.setdefault((coordinator, worker), Wire())
+
+    def started(self, held: slots.Held) -> None:
+        """Count a start; a lapsed lease or a known answer forbids it."""
+        task = held.task
+        self.starts[task] += 1
+        if self.now >= held.lease_ends:
+            raise AssertionError(f'{task} started on a lapsed lease')
+        answer = self.answers.get(task.job)
+        if answer is not None:
+            verdict = answer.tasks[task.position].verdict
+            if verdict is errors.Verdict.not_run:
+                raise AssertionError(f'{task} started after "not run"')
+
+    def submit(self, coordinator: ids.MemberId, count: int) -> jobs.Job:
+        """Start a job of `count` tasks with a deadline of 40 s."""
+        number = next(self.numbers)
+        spec = messages.TaskSpec(ids.KindName('weigh-in'), '', 100, False)
+        item = messages.SubmitJob(
+            request=ids.RequestId(number),
+            tenant=ids.TenantName(f'tenant-{number % 2}'),
+            key=ids.IdempotencyKey(str(number)),
+            digest=b'',
+            first=True,
+            job_class=ids.ClassName('gate'),
+            urgency=5,
+            deadline_ms=40_000,
+            tasks=[spec] * count,
+        )
+        job_id = ids.JobId(f'job-{number}')
+        job = jobs.create(job_id, item, self.now, 0, [0.1] * count)
+        self.coordinators[coordinator].grants.jobs[job_id] = job
+        self.submitted[job_id] = coordinator
+        return job
+
+    def connect(
+        self,
+        coordinator: ids.MemberId,
+        worker: ids.MemberId,
+    ) -> None:
+        """Set up a new link; both sides learn of it."""
+        wire = self.wire(coordinator, worker)
+        wire.near = wire.far = next(self.numbers)
+        head = self.coordinators[coordinator]
+        hand = self.workers[worker]
+        owner = slots.Owner(coordinator, head.incarnation)
+        hand.slots.coordinator_back(owner, self.now)
+        head.grants.worker_back(worker, hand.incarnation, self.now)
+
+    def cut(self, coordinator: ids.MemberId, worker: ids.MemberId) -> None:
+        """Break a link as the coordinator sees it.
+
+        The worker may still read what is in its socket buffer.
+        """
+        self.wire(coordinator, worker).near = 0
+        self.coordinators[coordinator].grants.worker_lost(worker, self.now)
+
+    def deliver_down(
+        self,
+        coordinator: ids.MemberId,
+        worker: ids.MemberId,
+    ) -> None:
+        """Hand the oldest item over to a worker."""
+        wire = self.wire(coordinator, worker)
+        hand = self.workers[worker]
+        if hand.paused or not wire.down:
+            return
+        letter = wire.down.popleft()
+        if letter.epoch == wire.far:
+            incarnation = self.coordinators[coordinator].incarnation
+            hand.receive(slots.Owner(coordinator, incarnation), letter)
+
+    def deliver_back(
+        self,
+        coordinator: ids.MemberId,
+        worker: ids.MemberId,
+    ) -> None:
+        """Hand the oldest item over to a coordinator."""
+        wire = self.wire(coordinator, worker)
+        if not wire.back:
+            return
+        letter = wire.back.popleft()
+        if letter.epoch == wire.near:
+            self.coordinators[coordinator].receive(worker, letter.item)
+
+    def restart_worker(self, worker: ids.MemberId) -> None:
+        """Kill a worker's agent and start it again; its links break."""
+        for coordinator in self.coordinators:
+            self.cut(coordinator, worker)
+            self.wires[(coordinator, worker)] = Wire()
+        number = next(self.numbers)
+        self.workers[worker] = WorkerModel(self, worker, number)
+
+    def restart_coordinator(self, coordinator: ids.MemberId) -> None:
+        """Kill a coordinator and start it again; its jobs are lost."""
+        for worker, hand in self.workers.items():
+            self.wires[(coordinator, worker)] = Wire()
+            hand.slots.coordinator_lost(coordinator, self.now)
+        lost = self.coordinators[coordinator].grants.jobs
+        for job_id in lost:
+            self.submitted.pop(job_id)
+        number = next(self.numbers)
+        self.coordinators[coordinator] = CoordinatorModel(
+            self,
+            coordinator,
+            number,
+        )
+
+    def tick(self, seconds: float) -> None:
+        """Let time pass for all that are not paused."""
+        self.now += seconds
+        for head in self.coordinators.values():
+            head.grants.tick(self.now)
+        for hand in self.workers.values():
+            if not hand.paused:
+                hand.slots.tick(self.now)
+
+    def settle(self) -> None:
+        """Heal all faults and let every job reach its deadline."""
+        for hand in self.workers.values():
+            hand.paused = False
+        for pair in self.pairs():
+            wire = self.wire(*pair)
+            if not wire.near or wire.near != wire.far:
+                self.connect(*pair)
+        for _ in range(50):
+            for pair in self.pairs():
+                self.deliver_down(*pair)
+                self.deliver_back(*pair)
+            self.tick(1)
