Test faults of workers and endpoints in a running system

Guards against second starts and untrue verdicts when an agent is killed or paused, an endpoint is killed, leaves or hangs, and jobs are cancelled. Change: the endpoint stand-in can hang, and announces a switch at once.

--- a/src/poplardrum/standins/endpoint.py
+++ b/src/poplardrum/standins/endpoint.py
@@ -1,12 +1,14 @@
 """Stand-in for an endpoint: runs tasks by sleeping, counts their starts.
 
 A payload is JSON such as `{"seconds": 0.2, "fail": false}`; the time is
-divided by the endpoint's speed. `GET /starts` returns the starts of each
-task, `PUT /switch` sets `fail_all` (bool), `state` and `speed`.
+divided by the endpoint's speed; with `"hang": true` the task never ends by
+itself. `GET /starts` returns the starts of each task, `PUT /switch` sets
+`fail_all` (bool), `state`, `slots` and `speed` and announces them at once.
 """
 
 import asyncio
 import collections
+import contextlib
 import json
 import typing
 
@@ -29,6 +31,7 @@
         self.starts: collections.Counter[str] = collections.Counter()
         self.running: dict[str, asyncio.Task[typing.Any]] = {}
         self.most_running = 0
+        self.changed = asyncio.Event()
 
     def application(self) -> web.Application:
         """Return the HTTP application."""
@@ -71,6 +74,8 @@
             raise ValueError('endpoint is broken')
         if not isinstance(content, dict):
             content = {}
+        if content.get('hang'):
+            await asyncio.Event().wait()
         await asyncio.sleep(float(content.get('seconds', 0.05)) / self.speed)
         if content.get('fail'):
             raise ValueError('task failed')
@@ -99,7 +104,9 @@
         body = await request.json()
         self.fail_all = body.get('fail_all', self.fail_all)
         self.state = body.get('state', self.state)
+        self.slots = body.get('slots', self.slots)
         self.speed = body.get('speed', self.speed)
+        self.changed.set()
         return web.json_response(data=True)
 
 
@@ -123,4 +130,7 @@
                 # The agent starts later or restarts; the next round retries.
                 await asyncio.sleep(0.05)
                 continue
-            await asyncio.sleep(_ANNOUNCE_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_ANNOUNCE_SECONDS):
+                    await endpoint.changed.wait()
+            endpoint.changed.clear()
--- /dev/null
+++ b/tests/test_execution_faults.py
@@ -0,0 +1,287 @@
+"""Faults of workers and endpoints in a running system of processes."""
+
+import concurrent.futures
+import contextlib
+import json
+import pathlib
+import signal
+import tempfile
+import time
+import typing
+import unittest
+
+from poplardrum import ids
+from poplardrum.coordination import views
+from poplardrum.peers import messages
+from poplardrum.standins import fleet, http
+
+CREDENTIAL: typing.Final = 'lakeshore-secret'
+TENANT: typing.Final = ids.TenantName('lakeshore')
+SLOTS: typing.Final = 2
+WORKERS: typing.Final = 3
+HANG: typing.Final = json.dumps({'hang': True})
+
+Reply = tuple[int, typing.Any]
+
+
+def member(name: str) -> messages.Member:
+    """Return a member by its name, for the ranking of coordinators."""
+    return messages.Member(
+        ids.MemberId(name),
+        messages.Role.agent,
+        ids.Incarnation(''),
+        '',
+        0,
+        'great-lakes',
+        'toledo',
+    )
+
+
+def key_for(agent: int, purpose: str) -> str:
+    """Return a key whose first coordinator is the given agent."""
+    members = [member(f'agent-{index}') for index in range(WORKERS)]
+    for number in range(1000):
+        key = ids.IdempotencyKey(f'{purpose}-{number}')
+        if views.rank(TENANT, key, members)[0].id == f'agent-{agent}':
+            return key
+    raise AssertionError('no key found')
+
+
+class FaultTest(unittest.TestCase):
+    """Guards against second starts and untrue verdicts when parts fail."""
+
+    stack: contextlib.ExitStack
+    system: fleet.Fleet
+    pool: concurrent.futures.ThreadPoolExecutor
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start one entry and three agents with two slots each."""
+        cls.stack = contextlib.ExitStack()
+        directory = cls.stack.enter_context(tempfile.TemporaryDirectory())
+        workers = (fleet.WorkerPlan(slots=SLOTS),) * WORKERS
+        cls.system = fleet.Fleet(
+            fleet.Plan(workers, entries=1),
+            pathlib.Path(directory),
+        )
+        cls.pool = cls.stack.enter_context(
+            concurrent.futures.ThreadPoolExecutor(8),
+        )
+        for process in cls.system.all_processes():
+            cls.stack.callback(cls.kill, process)
+        cls.system.start({'10.ini': fleet.tenant_rule(TENANT, CREDENTIAL)})
+
+    @classmethod
+    def kill(cls, process: fleet.Process) -> None:
+        """Kill a process if it was started."""
+        if process.popen is not None:
+            process.kill()
+
+    @classmethod
+    def tearDownClass(cls) -> None:
+        """Kill all processes."""
+        cls.stack.close()
+
+    def tearDown(self) -> None:
+        """No task has started twice and no endpoint had too many."""
+        doubled = {
+            task: count
+            for task, count in self.system.starts().items()
+            if count > 1
+        }
+        self.assertEqual(doubled, {})
+        for index in range(WORKERS):
+            self.assertLessEqual(self.endpoint(index)['most_running'], SLOTS)
+        fleet.wait_until(self.idle, 'all slots are free again')
+
+    def idle(self) -> bool:
+        """Tell whether the entry sees all agents linked with slots."""
+        return self.system.linked() == WORKERS
+
+    def endpoint(self, index: int) -> dict[str, typing.Any]:
+        """Return what an endpoint counted."""
+        address = self.system.endpoint_addresses[index]
+        _, reply = http.call('GET', f'http://{address}/starts')
+        return typing.cast(dict[str, typing.Any], reply)
+
+    def switch(self, index: int, **changes: typing.Any) -> None:
+        """Change the behaviour of an endpoint."""
+        address = self.system.endpoint_addresses[index]
+        http.call('PUT', f'http://{address}/switch', changes)
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: typing.Any = None,
+        key: str = '',
+    ) -> Reply:
+        """Call the entry as the tenant."""
+        return http.call(
+            method,
+            f'http://{self.system.entry_addresses[0]}{path}',
+            body,
+            {
+                'Authorization': f'Bearer {CREDENTIAL}',
+                'Idempotency-Key': key,
+                'Poplardrum-Attempt': 'first',
+            },
+        )
+
+    def submit(
+        self,
+        key: str,
+        count: int,
+        payload: str,
+        deadline: float = 60,
+    ) -> concurrent.futures.Future[Reply]:
+        """Submit a job in the background."""
+        body = {
+            'deadline_ms': int(1000 * deadline),
+            'tasks': [{'kind': 'weigh-in', 'payload': payload}] * count,
+        }
+        return self.pool.submit(self.call, 'POST', '/v1/jobs', body, key)
+
+    def wait_running(self, index: int) -> set[str]:
+        """Wait until an endpoint has filled its slots; return its tasks."""
+        before = set(self.endpoint(index)['starts'])
+        fleet.wait_until(
+            lambda: len(self.endpoint(index)['starts']) >= len(before) + SLOTS,
+            f'endpoint {index} runs tasks',
+        )
+        return set(self.endpoint(index)['starts']) - before
+
+    def check_verdicts(
+        self,
+        reply: typing.Any,
+        starts: dict[str, int],
+    ) -> list[str]:
+        """Compare verdicts with starts; return the verdicts in order."""
+        verdicts = [task['verdict'] for task in reply['tasks']]
+        for position, verdict in enumerate(verdicts):
+            started = starts.get(f'{reply["job"]}.{position}', 0)
+            if verdict == 'not_run':
+                self.assertEqual(started, 0)
+            if verdict == 'ran':
+                self.assertEqual(started, 1)
+        return verdicts
+
+    def test_agent_killed(self) -> None:
+        """Guards against a second start of what a killed agent ran."""
+        payload = json.dumps({'seconds': 1.5})
+        job = self.submit(key_for(0, 'killed'), 12, payload)
+        lost = self.wait_running(1)
+        self.system.agents[1].kill()
+        self.system.agents[1].start()
+        _, reply = job.result()
+        verdicts = self.check_verdicts(reply, self.system.starts())
+        self.assertEqual(len(verdicts), 12)
+        self.assertEqual(verdicts.count('may_have_run'), len(lost))
+
+    def test_agent_paused_briefly(self) -> None:
+        """Guards against the loss of tasks that end while a link is down."""
+        payload = json.dumps({'seconds': 9})
+        job = self.submit(key_for(0, 'brief'), 6, payload)
+        self.wait_running(1)
+        self.system.agents[1].send(signal.SIGSTOP)
+        fleet.wait_until(
+            lambda: self.system.linked() == WORKERS - 1,
+            'the silent link is closed',
+        )
+        self.system.agents[1].send(signal.SIGCONT)
+        _, reply = job.result()
+        verdicts = self.check_verdicts(reply, self.system.starts())
+        self.assertEqual(verdicts, ['ran'] * 6)
+
+    def test_agent_paused_past_leases(self) -> None:
+        """Guards against starts on a lapsed lease after a pause."""
+        payload = json.dumps({'seconds': 1})
+        self.system.agents[2].send(signal.SIGSTOP)
+        jobs = [
+            self.submit(key_for(0, f'paused-{number}'), 6, payload)
+            for number in range(3)
+        ]
+        replies = [job.result()[1] for job in jobs]
+        self.assertTrue(all(len(reply['tasks']) == 6 for reply in replies))
+        self.system.agents[2].send(signal.SIGCONT)
+        fleet.wait_until(self.idle, 'the woken agent is linked')
+        time.sleep(1)
+        starts = self.system.starts()
+        for reply in replies:
+            verdicts = self.check_verdicts(reply, starts)
+            for position, verdict in enumerate(verdicts):
+                task = f'{reply["job"]}.{position}'
+                if verdict == 'may_have_run':
+                    self.assertNotIn(task, starts)
+
+    def test_endpoint_killed(self) -> None:
+        """Guards against a second start of what a killed endpoint ran."""
+        payload = json.dumps({'seconds': 1.5})
+        job = self.submit(key_for(0, 'endpoint'), 12, payload)
+        lost = self.wait_running(1)
+        self.system.endpoints[1].kill()
+        before = self.system.starts()
+        _, reply = job.result()
+        self.system.endpoints[1].start()
+        starts = {**self.system.starts(), **dict.fromkeys(lost, 1)}
+        verdicts = self.check_verdicts(reply, {**before, **starts})
+        uncertain = {
+            f'{reply["job"]}.{position}'
+            for position, verdict in enumerate(verdicts)
+            if verdict == 'may_have_run'
+        }
+        self.assertEqual(uncertain, lost)
+        self.assertEqual(verdicts.count('ran'), 12 - len(lost))
+        fleet.wait_until(self.idle, 'the endpoint is back')
+
+    def test_endpoint_leaves(self) -> None:
+        """Guards against new work at a leaving endpoint after 2 s."""
+        payload = json.dumps({'seconds': 0.5})
+        job = self.submit(key_for(1, 'leaving'), 40, payload)
+        self.wait_running(1)
+        self.switch(1, state='leaving')
+        time.sleep(2)
+        at_limit = len(self.endpoint(1)['starts'])
+        _, reply = job.result()
+        self.assertEqual(len(self.endpoint(1)['starts']), at_limit)
+        self.switch(1, state='ready')
+        verdicts = self.check_verdicts(reply, self.system.starts())
+        self.assertEqual(verdicts, ['ran'] * 40)
+
+    def test_cancellation_wave(self) -> None:
+        """Guards against cancelled tasks that run on or are reported wrong."""
+        payload = json.dumps({'seconds': 30})
+        keys = [key_for(number % 3, f'wave-{number}') for number in range(6)]
+        jobs = [self.submit(key, 10, payload) for key in keys]
+        self.wait_running(1)
+        for key in keys:
+            self.pool.submit(self.call, 'DELETE', f'/v1/jobs/{key}')
+        replies = [job.result()[1] for job in jobs]
+        starts = self.system.starts()
+        for reply in replies:
+            verdicts = self.check_verdicts(reply, starts)
+            self.assertEqual(len(verdicts), 10)
+            self.assertNotIn('may_have_run', verdicts)
+            self.assertEqual(reply['code'], 'cancelled')
+
+    def test_cancel_one_job(self) -> None:
+        """Guards against starts of queued tasks after a cancellation."""
+        key = key_for(0, 'cancel')
+        job = self.submit(key, 60, json.dumps({'seconds': 30}))
+        self.wait_running(1)
+        self.call('DELETE', f'/v1/jobs/{key}')
+        _, reply = job.result()
+        verdicts = self.check_verdicts(reply, self.system.starts())
+        self.assertEqual(verdicts.count('ran'), SLOTS * WORKERS)
+        self.assertEqual(verdicts.count('not_run'), 60 - SLOTS * WORKERS)
+
+    def test_endpoint_never_answers(self) -> None:
+        """Guards against a slot or a job that a hung task keeps for ever."""
+        job = self.submit(key_for(0, 'hang'), 8, HANG, deadline=2)
+        _, reply = job.result()
+        verdicts = self.check_verdicts(reply, self.system.starts())
+        self.assertEqual(verdicts.count('may_have_run'), SLOTS * WORKERS)
+        self.assertEqual(verdicts.count('not_run'), 2)
+        payload = json.dumps({'seconds': 0.01})
+        _, reply = self.submit(key_for(0, 'after'), 6, payload).result()
+        self.assertEqual(reply['code'], 'ok')
--- /dev/null
+++ b/tests/test_execution_grants.py
@@ -0,0 +1,167 @@
+"""Single orders of events between a coordinator and a worker."""
+
+import unittest
+
+from poplardrum import errors, ids
+from poplardrum.daemons import grants, memory, slots
+from poplardrum.peers import messages
+from tests import execution_model
+
+C0 = ids.MemberId('c0')
+W0 = ids.MemberId('w0')
+W1 = ids.MemberId('w1')
+
+
+class GrantTest(unittest.TestCase):
+    """Guards against second starts in orders that a real link allows."""
+
+    def setUp(self) -> None:
+        """Start a job of four tasks at one coordinator."""
+        self.world = execution_model.World()
+        self.head = self.world.coordinators[C0]
+        self.job = self.world.submit(C0, 4)
+        self.hand = self.world.workers[W0]
+
+    def deliver(self, worker: ids.MemberId = W0) -> None:
+        """Deliver everything both ways."""
+        for _ in range(20):
+            self.world.deliver_down(C0, worker)
+            self.world.deliver_back(C0, worker)
+
+    def grant(self, count: int, worker: ids.MemberId = W0) -> None:
+        """Grant waiting tasks."""
+        for _ in range(count):
+            self.head.grant(self.job, worker)
+
+    def test_query_refuses_for_good(self) -> None:
+        """Guards against a start after "not started" was promised.
+
+        The query overtakes the grant, which is read later from the buffer
+        of a connection that has broken.
+        """
+        self.grant(1)
+        wire = self.world.wire(C0, W0)
+        late = wire.down.popleft()
+        self.world.cut(C0, W0)
+        self.world.connect(C0, W0)
+        self.deliver()
+        self.assertEqual(len(self.job.waiting), 4)
+        self.hand.receive(
+            slots.Owner(C0, self.head.incarnation),
+            late,
+        )
+        self.assertEqual(self.world.starts.total(), 0)
+        self.grant(4, W1)
+        self.deliver(W1)
+        self.assertEqual(self.world.starts.total(), execution_model.SLOTS)
+
+    def test_doubled_grant(self) -> None:
+        """Guards against a second start by a grant that arrives twice."""
+        self.grant(1)
+        wire = self.world.wire(C0, W0)
+        again = wire.down[0]
+        owner = slots.Owner(C0, self.head.incarnation)
+        self.hand.receive(owner, again)
+        self.hand.receive(owner, again)
+        self.hand.finish(again.item.task, errors.Code.ok)
+        self.hand.receive(owner, again)
+        self.assertEqual(self.world.starts.total(), 1)
+
+    def test_old_refusal(self) -> None:
+        """Guards against a doubled refusal that frees a later grant."""
+        self.grant(1)
+        self.hand.slots.offer(0, self.world.now)
+        self.world.deliver_down(C0, W0)
+        wire = self.world.wire(C0, W0)
+        refusal = wire.back[0]
+        self.deliver()
+        self.hand.slots.offer(execution_model.SLOTS, self.world.now)
+        self.grant(1)
+        self.deliver()
+        self.head.receive(W0, refusal.item)
+        self.assertEqual(len(self.job.granted), 1)
+        self.assertEqual(len(self.job.waiting), 3)
+
+    def test_lapsed_in_buffer(self) -> None:
+        """Guards against a start of a frame that waited during a pause."""
+        self.grant(1)
+        self.world.now += execution_model.LEASE
+        self.deliver()
+        self.assertEqual(self.world.starts.total(), 0)
+        self.assertEqual(len(self.job.waiting), 4)
+
+    def test_lapsed_in_queue(self) -> None:
+        """Guards against a start of a queued task after a pause."""
+        self.grant(3)
+        self.deliver()
+        self.world.now += execution_model.LEASE
+        self.hand.finish(next(iter(self.hand.at_endpoint)), errors.Code.ok)
+        self.deliver()
+        self.assertEqual(self.world.starts.total(), execution_model.SLOTS)
+
+    def test_lease_of_claim(self) -> None:
+        """Guards against a lease from an answer that was sent late.
+
+        The coordinator pauses between claim and answer, so the frame is
+        fresh although the worker's claim is old.
+        """
+        tenant = self.job.submit.tenant
+        item = messages.Reserve(self.job.id, tenant, 5, 0, 1, 100)
+        self.head.send(W0, item)
+        self.world.deliver_down(C0, W0)
+        self.world.now += execution_model.LEASE
+        self.deliver()
+        self.assertEqual(self.world.starts.total(), 0)
+        self.assertEqual(len(self.job.waiting), 4)
+
+    def test_lost_worker_is_bounded(self) -> None:
+        """Guards against a job that waits for a worker that never returns."""
+        self.grant(4)
+        self.world.cut(C0, W0)
+        self.world.tick(grants.LOST_SECONDS + 1)
+        answer = self.world.answers[self.job.id]
+        verdicts = {task.verdict for task in answer.tasks}
+        self.assertEqual(verdicts, {errors.Verdict.may_have_run})
+
+    def test_expired_in_queue(self) -> None:
+        """Guards against starts and untrue verdicts after a deadline."""
+        self.grant(3)
+        self.deliver()
+        self.world.tick(self.job.deadline - 0.05 - self.world.now)
+        self.deliver()
+        self.world.tick(0.1)
+        answer = self.world.answers[self.job.id]
+        verdicts = [task.verdict for task in answer.tasks]
+        self.assertEqual(verdicts.count(errors.Verdict.may_have_run), 2)
+        self.assertEqual(verdicts.count(errors.Verdict.not_run), 2)
+
+
+class MemoryTest(unittest.TestCase):
+    """Guards against "not run" for tasks that were forgotten."""
+
+    def test_forgotten_is_not_certain(self) -> None:
+        """Guards against a claim to know what a bound has dropped."""
+        kept = memory.Memory(limit=1, size_limit=100)
+        job = ids.JobId('job')
+        kept.refuse(ids.TaskId(job, 0), 1, now=50)
+        self.assertTrue(kept.certain(40))
+        kept.refuse(ids.TaskId(job, 1), 2, now=60)
+        self.assertFalse(kept.certain(40))
+        self.assertTrue(kept.certain(70))
+
+    def test_output_is_bounded(self) -> None:
+        """Guards against outputs that fill the memory of an agent."""
+        kept = memory.Memory(limit=10, size_limit=100)
+        job = ids.JobId('job')
+        outcome = messages.TaskOutcome(
+            errors.Verdict.ran,
+            errors.Code.ok,
+            'x' * 80,
+        )
+        for position in range(3):
+            task = ids.TaskId(job, position)
+            kept.finish(task, position, outcome, now=50)
+        self.assertLessEqual(kept.size, 100)
+        first = kept.get(ids.TaskId(job, 0))
+        assert first and first.outcome
+        self.assertEqual(first.outcome.verdict, errors.Verdict.ran)
