Stop tasks reliably and spare slots that an earlier agent filled

Cause: found by tests.test_execution_faults under load: a stop that came before the task was sent to the endpoint was lost, and the task ran on to the deadline; a restarted agent ran 4 tasks at an endpoint with 2 slots; after an endpoint was killed one more task was sent on a connection that had not noticed it. Change: a stop is repeated until the endpoint has answered the task, and a task that has not been sent is given back; announcements name the running tasks, and the agent leaves the slots of unknown ones alone; a broken connection to the endpoint takes its slots away until it announces itself.

--- a/src/poplardrum/daemons/agent.py
+++ b/src/poplardrum/daemons/agent.py
@@ -121,6 +121,7 @@
         changed = self.worker.endpoint.accept(announcement, time.monotonic())
         if changed:
             self.tell_state()
+        self.worker.slots.note_running(announcement.running, time.monotonic())
         self.worker.refresh()
         return web.json_response({'agent': self.member.id})
 
--- a/src/poplardrum/daemons/slots.py
+++ b/src/poplardrum/daemons/slots.py
@@ -116,6 +116,7 @@
         self.numbers = itertools.count(1)
         self.slots = 0
         self.stuck: set[ids.TaskId] = set()
+        self.orphans = 0
         self.only: ids.MemberId | None = None
 
     @property
@@ -129,7 +130,21 @@
     def free(self) -> int:
         """Return the slots that neither a task nor a claim takes."""
         claimed = sum(claim.keeps_slot for claim in self.claims.values())
-        return self.slots - self.running - claimed - len(self.stuck)
+        taken = self.running + claimed + len(self.stuck) + self.orphans
+        return self.slots - taken
+
+    def note_running(self, names: typing.Iterable[str], now: float) -> None:
+        """Keep slots for tasks that an earlier agent left at the endpoint.
+
+        `names` are all tasks that the endpoint runs. One that has just
+        ended here may still be among them.
+        """
+        found = [_task_id(name) for name in names]
+        self.orphans = sum(
+            task not in self.held and self.memory.get(task) is None
+            for task in found
+        )
+        self.pump(now)
 
     def drain(self, own: ids.MemberId, now: float) -> None:
         """Take no more work but from the coordinator of this process."""
@@ -339,3 +354,8 @@
             if held.phase is Phase.queued:
                 self.refuse(held, errors.Code.link_lost, now)
         self.coordinator_lost(owner.member, now)
+
+
+def _task_id(name: str) -> ids.TaskId:
+    job, _, position = name.rpartition('.')
+    return ids.TaskId(ids.JobId(job), int(position))
--- a/src/poplardrum/daemons/worker.py
+++ b/src/poplardrum/daemons/worker.py
@@ -18,6 +18,7 @@
 _TICK_SECONDS: typing.Final = 0.25
 # Time that a stopped task has to end by itself before it is given up.
 _STOP_SECONDS: typing.Final = 2.0
+_RESTOP_SECONDS: typing.Final = 0.1
 _UNKNOWN_TIME: typing.Final = float('-inf')
 
 Decide = typing.Callable[[slots.Slots, recalls.Recall, float], None]
@@ -78,6 +79,8 @@
         now = time.monotonic()
         announcement = self.endpoint.announcement
         reason = held.lapsed(now)
+        if held.phase is slots.Phase.stopping:
+            reason = errors.Code.cancelled
         if announcement is None or reason is not None:
             self.give_back(held, reason or errors.Code.unavailable)
             return
@@ -95,6 +98,11 @@
             self.endpoint.suspend()
             self.give_back(held, outcome.code)
             return
+        if outcome.code is errors.Code.endpoint_failed:
+            # Other connections may not have noticed yet that the endpoint
+            # has died; a task sent on one of them may or may not run.
+            self.endpoint.suspend()
+            self.refresh()
         if limit.expired():
             outcome = await self.abandon(announcement.address, held, outcome)
         self.slots.ended(held, outcome, time.monotonic())
@@ -155,13 +163,18 @@
         ends = asyncio.get_running_loop().time() + _STOP_SECONDS
         limit.reschedule(min(ends, limit.when() or ends))
         self.process.spawn(
-            self.send_stop(announcement.address, held.task),
+            self.send_stop(announcement.address, held),
             f'stop {held.task}',
         )
 
-    async def send_stop(self, address: str, task: ids.TaskId) -> None:
-        """Ask the endpoint to stop a task; its own answer tells the end."""
-        await self.runner.stop(address, task)
+    async def send_stop(self, address: str, held: slots.Held) -> None:
+        """Ask the endpoint to stop a task until its own answer has come.
+
+        The first request may overtake the one that starts the task.
+        """
+        while self.slots.held.get(held.task) is held:
+            await self.runner.stop(address, held.task)
+            await asyncio.sleep(_RESTOP_SECONDS)
 
     def send(self, owner: slots.Owner, item: messages.AnyItem) -> bool:
         """Send to a coordinator over the link that it opened."""
--- a/src/poplardrum/endpoints/announcements.py
+++ b/src/poplardrum/endpoints/announcements.py
@@ -17,13 +17,24 @@
     leaving = 'leaving'
 
 
+TaskName = typing.Annotated[
+    str,
+    msgspec.Meta(pattern=r'^[^.]+\.[0-9]{1,9}$', max_length=256),
+]
+
+
 class Announcement(msgspec.Struct, frozen=True):
-    """Body of `POST /announce`."""
+    """Body of `POST /announce`.
+
+    `running` names the tasks that run now, so that an agent that has been
+    restarted does not use their slots.
+    """
 
     endpoint: str
     address: str
     slots: typing.Annotated[int, msgspec.Meta(ge=1, le=4096)]
     state: EndpointState = EndpointState.ready
+    running: tuple[TaskName, ...] = ()
 
 
 @dataclasses.dataclass
--- a/src/poplardrum/standins/endpoint.py
+++ b/src/poplardrum/standins/endpoint.py
@@ -123,6 +123,7 @@
                 'address': address,
                 'slots': endpoint.slots,
                 'state': endpoint.state,
+                'running': list(endpoint.running),
             }
             try:
                 await session.post(f'http://{agent}/announce', json=body)
--- a/tests/test_execution_faults.py
+++ b/tests/test_execution_faults.py
@@ -216,13 +216,16 @@
 
     def test_endpoint_killed(self) -> None:
         """Guards against a second start of what a killed endpoint ran."""
-        payload = json.dumps({'seconds': 1.5})
+        payload = json.dumps({'seconds': 3})
         job = self.submit(key_for(0, 'endpoint'), 12, payload)
         lost = self.wait_running(1)
-        self.system.endpoints[1].kill()
         before = self.system.starts()
-        _, reply = job.result()
-        self.system.endpoints[1].start()
+        self.system.endpoints[1].kill()
+        try:
+            _, reply = job.result()
+        finally:
+            self.system.endpoints[1].start()
+            fleet.wait_until(self.idle, 'the endpoint is back')
         starts = {**self.system.starts(), **dict.fromkeys(lost, 1)}
         verdicts = self.check_verdicts(reply, {**before, **starts})
         uncertain = {
@@ -232,7 +235,6 @@
         }
         self.assertEqual(uncertain, lost)
         self.assertEqual(verdicts.count('ran'), 12 - len(lost))
-        fleet.wait_until(self.idle, 'the endpoint is back')
 
     def test_endpoint_leaves(self) -> None:
         """Guards against new work at a leaving endpoint after 2 s."""
--- a/tests/test_execution_grants.py
+++ b/tests/test_execution_grants.py
@@ -66,6 +66,7 @@
         self.hand.finish(again.item.task, errors.Code.ok)
         self.hand.receive(owner, again)
         self.assertEqual(self.world.starts.total(), 1)
+        self.assertIsInstance(wire.back[-1].item, messages.Done)
 
     def test_old_refusal(self) -> None:
         """Guards against a doubled refusal that frees a later grant."""
@@ -124,7 +125,12 @@
         self.assertEqual(verdicts, {errors.Verdict.may_have_run})
 
     def test_expired_in_queue(self) -> None:
-        """Guards against starts and untrue verdicts after a deadline."""
+        """Guards against starts and untrue verdicts after a deadline.
+
+        The deadline ends before the leases, so only the coordinator's own
+        request brings the queued task back.
+        """
+        self.job.deadline = self.world.now + execution_model.LEASE / 2
         self.grant(3)
         self.deliver()
         self.world.tick(self.job.deadline - 0.05 - self.world.now)
@@ -136,6 +142,26 @@
         self.assertEqual(verdicts.count(errors.Verdict.not_run), 2)
 
 
+class SlotTest(unittest.TestCase):
+    """Guards against more tasks at an endpoint than it has slots."""
+
+    def test_tasks_of_an_earlier_agent(self) -> None:
+        """Guards against starts in slots that a killed agent has filled."""
+        world = execution_model.World()
+        job = world.submit(C0, 3)
+        hand = world.workers[W0]
+        hand.slots.note_running(['job-9.0', 'job-9.1'], world.now)
+        for _ in range(3):
+            world.coordinators[C0].grant(job, W0)
+            world.deliver_down(C0, W0)
+        self.assertEqual(world.starts.total(), 0)
+        hand.slots.note_running(['job-9.1'], world.now)
+        self.assertEqual(world.starts.total(), 1)
+        own = next(iter(hand.at_endpoint))
+        hand.slots.note_running([f'{own.job}.{own.position}'], world.now)
+        self.assertEqual(world.starts.total(), execution_model.SLOTS)
+
+
 class MemoryTest(unittest.TestCase):
     """Guards against "not run" for tasks that were forgotten."""
 
