Judge submissions at the entry by load, share and quota

The entry admitted everything. It now refuses a first attempt early, with a time to come back; any other attempt carries its refusal to the coordinator, which applies it only if the key is unknown (new field refuse_after).

--- a/src/poplardrum/callers/routes.py
+++ b/src/poplardrum/callers/routes.py
@@ -71,11 +71,17 @@
         job = requests.read_job(body, self.process.settings.limits)
         item = self.submit_item(request, tenant, job, requests.digest_of(body))
         logs.job_id.set(item.key)
-        answer = await self.process.router.call(
-            item,
-            self.region(tenant, current),
-            item.deadline_ms / 1000 + _REPLY_MARGIN,
-        )
+        region = self.region(tenant, current)
+        ticket = self.process.admission.admit(item, region)
+        try:
+            answer = await self.process.router.call(
+                item,
+                region,
+                item.deadline_ms / 1000 + _REPLY_MARGIN,
+            )
+        finally:
+            self.process.admission.finished(ticket)
+        self.process.admission.learn(ticket, answer)
         self.record(tenant, item.job_class, answer.code, started)
         return replies.from_answer(
             answer,
--- /dev/null
+++ b/src/poplardrum/daemons/admission.py
@@ -0,0 +1,160 @@
+"""The entry's admission: load of the links, quotas and learned times."""
+
+import dataclasses
+import math
+import time
+import typing
+
+import msgspec
+
+from poplardrum import errors, ids
+from poplardrum.operators import rules
+from poplardrum.peers import messages
+from poplardrum.scheduling import admission, estimates
+
+if typing.TYPE_CHECKING:
+    from poplardrum.daemons import entry
+
+
+@dataclasses.dataclass
+class Ticket:
+    """One forwarded submission; `declared` holds the callers' times in ms."""
+
+    item: messages.SubmitJob
+    declared: list[float]
+    counted: bool
+
+
+class EntryAdmission:
+    """Judge submissions by what the links of an entry report."""
+
+    def __init__(self, process: 'entry.Entry') -> None:
+        """Start without experience."""
+        self.process = process
+        self.estimates = estimates.Estimates()
+        self.judge = admission.Admission(
+            admission.ExpectedWait(),
+            process.random,
+        )
+        self.current: rules.Rules | None = None
+
+    def admit(self, item: messages.SubmitJob, region: str) -> Ticket:
+        """Judge a submission; raise `quota`, `overload` or `unavailable`.
+
+        Only a first attempt is refused here. Any other may belong to a known
+        key, so it carries the refusal to the coordinator, which applies it
+        if the key is unknown. The item's declared times and the speeds in
+        its hints are replaced by what this entry has learned.
+        """
+        self._follow_rules()
+        request = self._request(item)
+        ticket = Ticket(item, [task.declared_ms for task in item.tasks], True)
+        try:
+            self.judge.admit(request, self.capacity(region), time.monotonic())
+        except errors.PoplardrumError as error:
+            if item.first:
+                raise
+            item.refuse_after = error.retry_after
+            ticket.counted = False
+        item.tasks = [self._estimated(item, task) for task in item.tasks]
+        item.hints = [self._hint(hint) for hint in item.hints]
+        return ticket
+
+    def finished(self, ticket: Ticket) -> None:
+        """Count a submission as no longer in flight."""
+        if ticket.counted:
+            ticket.counted = False
+            item = ticket.item
+            self.judge.finished(item.tenant, len(item.tasks))
+
+    def learn(self, ticket: Ticket, answer: messages.Answer) -> None:
+        """Learn from the real times in an answer."""
+        item = ticket.item
+        now = time.monotonic()
+        if len(answer.tasks) != len(item.tasks):
+            return
+        rows = zip(item.tasks, ticket.declared, answer.tasks, strict=True)
+        for task, declared, outcome in rows:
+            if outcome.code is errors.Code.ok and outcome.seconds > 0:
+                self.estimates.learn(
+                    (item.tenant, task.kind),
+                    declared / 1000,
+                    outcome.worker,
+                    outcome.seconds,
+                    now,
+                )
+
+    def capacity(self, region: str) -> admission.Capacity:
+        """Return the load of a region's agents as their links report it."""
+        loads = [
+            (link.member.id, link.load)
+            for link in self.process.links.values()
+            if link.load
+            and link.member.region == region
+            and link.member.state is messages.MemberState.ready
+        ]
+        backlog: dict[ids.TenantName, float] = {}
+        for _, load in loads:
+            for tenant, seconds in load.backlog.items():
+                backlog[tenant] = backlog.get(tenant, 0) + seconds
+        return admission.Capacity(
+            slot_rate=math.fsum(
+                load.slots * self.estimates.speed(worker, load.speed)
+                for worker, load in loads
+            ),
+            free=sum(load.free for _, load in loads),
+            backlog=backlog,
+        )
+
+    def _request(self, item: messages.SubmitJob) -> admission.Request:
+        times = [self._expected(item, task) for task in item.tasks]
+        trusted = [
+            seconds
+            for task, seconds in zip(item.tasks, times, strict=True)
+            if self.estimates.trusted(item.tenant, task.kind)
+        ]
+        return admission.Request(
+            tenant=item.tenant,
+            tasks=len(times),
+            work=math.fsum(times),
+            longest=max(trusted, default=0),
+            deadline=item.deadline_ms / 1000,
+            first=item.first,
+        )
+
+    def _expected(
+        self,
+        item: messages.SubmitJob,
+        task: messages.TaskSpec,
+    ) -> float:
+        declared = task.declared_ms / 1000
+        return self.estimates.expected(item.tenant, task.kind, declared)
+
+    def _estimated(
+        self,
+        item: messages.SubmitJob,
+        task: messages.TaskSpec,
+    ) -> messages.TaskSpec:
+        expected = self._expected(item, task) * 1000
+        return msgspec.structs.replace(task, declared_ms=expected)
+
+    def _hint(self, hint: messages.Hint) -> messages.Hint:
+        speed = self.estimates.speed(hint.worker, hint.load.speed)
+        load = msgspec.structs.replace(hint.load, speed=speed)
+        return messages.Hint(hint.worker, load)
+
+    def _follow_rules(self) -> None:
+        current = self.process.configuration.rules
+        if current is self.current:
+            return
+        self.current = current
+        self.judge.set_limits(
+            {
+                tenant: admission.TenantLimits(
+                    rule.share,
+                    rule.max_jobs,
+                    rule.max_tasks,
+                )
+                for tenant, rule in current.tenants.items()
+            },
+        )
--- a/src/poplardrum/daemons/entry.py
+++ b/src/poplardrum/daemons/entry.py
@@ -10,6 +10,7 @@
 from poplardrum import errors, settings
 from poplardrum.callers import routes as caller_routes
 from poplardrum.daemons import (
+    admission,
     configuration,
     membership,
     node,
@@ -38,6 +39,7 @@
         super().__init__(config, messages.Role.entry, stack)
         self.platform = platform
         self.router = router.Router(self)
+        self.admission = admission.EntryAdmission(self)
         self.requests = 0
 
     def observe(self, link: links.Link) -> None:
--- a/src/poplardrum/daemons/submissions.py
+++ b/src/poplardrum/daemons/submissions.py
@@ -55,6 +55,14 @@
         if self.process.stopping.is_set():
             self.refuse(waiter, errors.Code.stopping, 'agent is stopping')
             return
+        if item.refuse_after is not None:
+            self.refuse(
+                waiter,
+                errors.Code.overload,
+                'the tenant has used up its share or quota',
+                item.refuse_after,
+            )
+            return
         key = (item.tenant, item.key)
         record = records.Record(ids.new_job(*key), item.digest)
         try:
--- a/src/poplardrum/peers/messages.py
+++ b/src/poplardrum/peers/messages.py
@@ -129,7 +129,9 @@
     """Ask a coordinator to run a job, or to attach to it.
 
     `deadline_ms` is the time left when the frame was sent. `unreachable`
-    lists agents to which the entry has no live link.
+    lists agents to which the entry has no live link. `refuse_after` is set if
+    the entry would refuse this job as new work: a coordinator that does not
+    know the key refuses it as not run, with this time in seconds to come back.
     """
 
     request: ids.RequestId
@@ -144,6 +146,7 @@
     wait: bool = True
     hints: list[Hint] = []
     unreachable: list[ids.MemberId] = []
+    refuse_after: float | None = None
 
 
 class FetchJob(Item):
