--- a/src/poplardrum/peers/messages.py
+++ b/src/poplardrum/peers/messages.py
@@ -41,13 +41,17 @@
 
 
 class Load(msgspec.Struct, array_like=True, frozen=True):
-    """Load of one agent; `backlog` is queued seconds by tenant."""
+    """Load of one agent; `backlog` is queued seconds by tenant.
+
+    `next_free` is the expected seconds until a slot is free.
+    """
 
     slots: int
     free: int
     queued: int
     speed: float = 1.0
     backlog: dict[ids.TenantName, float] = {}
+    next_free: float = 0.0
 
 
 class TaskSpec(msgspec.Struct, array_like=True, frozen=True):
@@ -125,7 +129,9 @@
     """Ask a coordinator to run a job, or to attach to it.
 
     `deadline_ms` is the time left when the frame was sent. `unreachable`
-    lists agents to which the entry has no live link.
+    lists agents to which the entry has no live link. `refuse_after` is set if
+    the entry would refuse this job as new work: a coordinator that does not
+    know the key refuses it as not run, with this time in seconds to come back.
     """
 
     request: ids.RequestId
@@ -140,6 +146,7 @@
     wait: bool = True
     hints: list[Hint] = []
     unreachable: list[ids.MemberId] = []
+    refuse_after: float | None = None
 
 
 class FetchJob(Item):
