--- a/src/poplardrum/daemons/coordinator.py
+++ b/src/poplardrum/daemons/coordinator.py
@@ -90,17 +90,20 @@
             placement.Task(position, job.expected[position])
             for position in job.waiting
         ]
-        plan = placement.place(
-            policy,
-            tasks,
-            candidates,
-            self.process.random,
-        )
-        for chosen in plan.grants:
-            self.grant(job, chosen.index, chosen.worker, now)
+        is_late = policy == placement.LateBinding()
+        chosen = self.workers.near(tasks, candidates) if is_late else None
+        if chosen is None:
+            chosen = placement.place(
+                policy,
+                tasks,
+                candidates,
+                self.process.random,
+            ).grants
+        for grant in chosen:
+            self.grant(job, grant.index, grant.worker, now)
         if not job.waiting:
             self.reservations.drop(job)
-        elif policy == placement.LateBinding():
+        elif is_late:
             added = self.reservations.extend(job, candidates, now)
             for worker, item in added:
                 self.send(worker, item)
--- a/src/poplardrum/daemons/workers.py
+++ b/src/poplardrum/daemons/workers.py
@@ -16,6 +16,9 @@
 _UNSEEN_SECONDS: typing.Final = 0.01
 # Age of a load at which half of the slots are taken to be in use.
 _STALE_SECONDS: typing.Final = 2.0
+# Way of a task to another worker and back, from the difference of p50
+# between tasks at the coordinator's own worker and at others: 1.3 ms.
+_WAY_SECONDS: typing.Final = 0.001
 _FAILURES: typing.Final = frozenset(
     (errors.Code.task_failed, errors.Code.endpoint_failed),
 )
@@ -120,6 +123,29 @@
             ejected=ejected,
         )
 
+    def near(
+        self,
+        tasks: list[placement.Task],
+        candidates: list[placement.Candidate],
+    ) -> list[placement.Grant] | None:
+        """Grant a single task to the own worker if none is faster.
+
+        `None` means that the policy decides.
+        """
+        if len(tasks) != 1:
+            return None
+        expected = tasks[0].expected
+        best = min(
+            (_finish(found, expected) for found in candidates if found.usable),
+            default=0,
+        )
+        for found in candidates:
+            own = found.worker == self.process.member.id
+            if own and found.usable and found.free > 0:
+                if _finish(found, expected) <= best + _WAY_SECONDS:
+                    return [placement.Grant(tasks[0].index, found.worker)]
+        return None
+
     def believed_free(
         self,
         link: links.Link,
@@ -139,3 +165,7 @@
             seen_at - _UNSEEN_SECONDS,
         )
         return load.free - unseen - int(age * load.slots / 2)
+
+
+def _finish(candidate: placement.Candidate, expected: float) -> float:
+    return candidate.wait() + expected / candidate.speed
