--- a/src/poplardrum/daemons/entry.py
+++ b/src/poplardrum/daemons/entry.py
@@ -11,6 +11,7 @@
 from poplardrum.callers import guard
 from poplardrum.callers import routes as caller_routes
 from poplardrum.daemons import (
+    admission,
     configuration,
     membership,
     node,
@@ -39,6 +40,7 @@
         super().__init__(config, messages.Role.entry, stack)
         self.platform = platform
         self.router = router.Router(self)
+        self.admission = admission.EntryAdmission(self)
         self.requests = 0
 
     def gauges(self) -> typing.Iterator[metrics.Gauge]:
