--- a/src/poplardrum/coordination/records.py
+++ b/src/poplardrum/coordination/records.py
@@ -1,13 +1,19 @@
-"""Submission records of one coordinator."""
+"""Submission records and tombstones of one agent."""
 
 import dataclasses
 import enum
+import typing
 
 from poplardrum import errors, ids
 from poplardrum.peers import messages
 
 RecordKey = tuple[ids.TenantName, ids.IdempotencyKey]
 
+# Size of a kept answer beside its strings, in bytes, and of one outcome.
+_ANSWER_BYTES: typing.Final = 256
+_OUTCOME_BYTES: typing.Final = 128
+_ANSWERS_BYTES: typing.Final = 16_777_216
+
 
 class RecordPhase(enum.Enum):
     """Phase of a record."""
@@ -25,32 +31,93 @@
     phase: RecordPhase = RecordPhase.running
     answer: messages.Answer | None = None
     expires: float = 0
+    size: int = 0
+
+
+class Tombstone(typing.NamedTuple):
+    """Promise never to start a key, with the agent that may own it."""
+
+    owner: ids.MemberId
+    expires: float
 
 
 class Records:
-    """Keep records for the resubmission window after the end of a job."""
+    """Keep records for the resubmission window after the end of a job.
+
+    Nothing is dropped before its time: at a bound, new keys are refused.
+    """
+
+    def __init__(
+        self,
+        limit: int,
+        window: float,
+        answers: int = _ANSWERS_BYTES,
+    ) -> None:
+        """Keep `limit` records and as many tombstones for `window` seconds.
 
-    def __init__(self, limit: int, window: float) -> None:
-        """Keep at most `limit` records, each for `window` seconds."""
+        New keys are refused while kept answers take `answers` bytes.
+        """
         self.limit = limit
         self.window = window
+        self.answers = answers
+        self.kept_bytes = 0
         self.by_key: dict[RecordKey, Record] = {}
+        self.tombstones: dict[RecordKey, Tombstone] = {}
 
     def get(self, key: RecordKey) -> Record | None:
         """Return the record of a key."""
         return self.by_key.get(key)
 
+    def owner(self, key: RecordKey, now: float) -> ids.MemberId | None:
+        """Return the agent that a live tombstone of a key points to."""
+        tombstone = self.tombstones.get(key)
+        if tombstone is None or tombstone.expires <= now:
+            return None
+        return tombstone.owner
+
     def add(self, key: RecordKey, record: Record, now: float) -> None:
-        """Add a record; raise `records_full` at the bound."""
-        if len(self.by_key) >= self.limit:
+        """Add a record; raise `records_full` at a bound."""
+        if self.full():
             self.expire(now)
-        if len(self.by_key) >= self.limit:
+        if self.full():
             raise errors.refusal(
                 errors.Code.records_full,
                 'too many submissions are kept for resubmission',
-                retry_after=self.window,
+                retry_after=self.next_expiry(now),
             )
         self.by_key[key] = record
+        self.tombstones.pop(key, None)
+
+    def full(self) -> bool:
+        """Tell whether a bound is reached."""
+        return len(self.by_key) >= self.limit or self.kept_bytes >= self.answers
+
+    def next_expiry(self, now: float) -> float:
+        """Return the seconds until the first kept record expires."""
+        ends = [
+            record.expires
+            for record in self.by_key.values()
+            if record.phase is RecordPhase.finished
+        ]
+        return max(1, min(ends, default=now + self.window) - now)
+
+    def bury(
+        self,
+        key: RecordKey,
+        owner: ids.MemberId,
+        expires: float,
+        now: float,
+    ) -> bool:
+        """Grant a tombstone; return `False` when no more can be kept."""
+        if len(self.tombstones) >= self.limit and key not in self.tombstones:
+            self.expire(now)
+            if len(self.tombstones) >= self.limit:
+                return False
+        known = self.tombstones.get(key)
+        if known is not None:
+            expires = max(expires, known.expires)
+        self.tombstones[key] = Tombstone(owner, expires)
+        return True
 
     def finish(
         self,
@@ -63,10 +130,36 @@
         record.phase = RecordPhase.finished
         record.answer = answer
         record.expires = now + self.window
+        record.size = size_of(answer)
+        self.kept_bytes += record.size
+
+    def take(self, key: RecordKey, record: Record) -> None:
+        """Take a finished record that another agent hands over.
+
+        It counts against the bounds but is never turned away, since its
+        owner is about to stop.
+        """
+        if key in self.by_key:
+            return
+        self.by_key[key] = record
+        self.kept_bytes += record.size
+        self.tombstones.pop(key, None)
 
     def expire(self, now: float) -> None:
-        """Drop the records whose window has ended."""
+        """Drop the records and tombstones whose time has ended."""
         for key, record in list(self.by_key.items()):
             finished = record.phase is RecordPhase.finished
             if finished and record.expires <= now:
                 self.by_key.pop(key)
+                self.kept_bytes -= record.size
+        for buried, tombstone in list(self.tombstones.items()):
+            if tombstone.expires <= now:
+                self.tombstones.pop(buried)
+
+
+def size_of(answer: messages.Answer) -> int:
+    """Return the approximate size of a kept answer in bytes."""
+    outcomes = sum(
+        _OUTCOME_BYTES + len(task.output.encode()) for task in answer.tasks
+    )
+    return _ANSWER_BYTES + len(answer.message) + outcomes
--- a/src/poplardrum/coordination/views.py
+++ b/src/poplardrum/coordination/views.py
@@ -18,6 +18,7 @@
         """Start with the process itself."""
         self.own = own
         self.by_id: dict[ids.MemberId, messages.Member] = {own.id: own}
+        self.revision = 0
 
     def members(self) -> list[messages.Member]:
         """Return all known members."""
@@ -31,6 +32,7 @@
         changed = [member for member in members if self._is_newer(member)]
         for member in changed:
             self.by_id[member.id] = member
+            self.revision += 1
         return changed
 
     def get(self, member: ids.MemberId) -> messages.Member | None:
@@ -38,17 +40,29 @@
         return self.by_id.get(member)
 
     def agents(self, region: str) -> list[messages.Member]:
-        """Return the agents of a region, whatever their state."""
+        """Return the agents of a region that have not ended."""
         return [
             member
             for member in self.by_id.values()
-            if member.role is messages.Role.agent and member.region == region
+            if member.role is messages.Role.agent
+            and member.region == region
+            and member.state is not messages.MemberState.gone
         ]
 
+    def entries(self) -> frozenset[ids.MemberId]:
+        """Return the entries of all regions that have not ended."""
+        return frozenset(
+            member.id
+            for member in self.by_id.values()
+            if member.role is messages.Role.entry
+            and member.state is not messages.MemberState.gone
+        )
+
     def replace_own(self, member: messages.Member) -> None:
         """Set the entry of the process itself."""
         self.own = member
         self.by_id[member.id] = member
+        self.revision += 1
 
     def _is_newer(self, member: messages.Member) -> bool:
         if member.id == self.own.id:
--- a/src/poplardrum/daemons/agent.py
+++ b/src/poplardrum/daemons/agent.py
@@ -6,14 +6,15 @@
 import time
 import typing
 
-import msgspec
 from aiohttp import web
 
 from poplardrum import ids, settings
 from poplardrum.daemons import (
     configuration,
     coordinator,
+    handover,
     membership,
+    neighbours,
     node,
     signals,
     submissions,
@@ -21,11 +22,13 @@
 )
 from poplardrum.endpoints import announcements
 from poplardrum.peers import links, messages
-from poplardrum.platform import consul
+from poplardrum.platform import consul, store
 
 logger = logging.getLogger(__name__)
 
 _TICK_SECONDS: typing.Final = 0.25
+_QUIET_TICKS: typing.Final = 4
+_LEAVING: typing.Final = 'leaving'
 
 
 class Agent(node.Node):
@@ -42,6 +45,7 @@
         self.coordinator = coordinator.Coordinator(self)
         self.submissions = submissions.Submissions(self)
         self.local = links.LocalLink(self)
+        self.neighbours = neighbours.Neighbours(self)
 
     def load(self) -> messages.Load:
         """Return the load of the endpoint."""
@@ -49,17 +53,36 @@
 
     def observe(self, link: links.Link) -> None:
         """Offer the configuration to an entry that runs by an older one."""
+        self.submissions.observe(link)
         if link.member.role is messages.Role.entry:
             configuration.offer(self, link)
 
+    def cut_off(self) -> bool:
+        """Tell whether no entry has a link to this agent."""
+        return not any(
+            link.member.role is messages.Role.entry
+            for link in self.inbound.values()
+        )
+
     def member_seen(self, member: messages.Member) -> None:
-        """Keep links to the other agents of the region."""
-        for changed in self.view.merge([member]):
-            self._follow(changed)
+        """Follow changes of the other members."""
+        if member.id == self.member.id:
+            if self.correct_own(member):
+                for link in self.all_links():
+                    link.send(messages.Leaving(self.member))
+            return
+        if self.view.merge([member]):
+            self.neighbours.changed(member)
+
+    def link_up(self, link: links.Link) -> None:
+        """Register a new link."""
+        self.submissions.link_up(link)
+        super().link_up(link)
 
     def link_down(self, link: links.Link) -> None:
         """End the tasks of a worker whose link has broken."""
         super().link_down(link)
+        self.submissions.link_down(link)
         if link.dialed:
             self.coordinator.worker_lost(link.member.id)
 
@@ -71,6 +94,22 @@
             if member.state is messages.MemberState.ready
         ]
 
+    def ready_members(self) -> list[messages.Member]:
+        """Return the agents that take new jobs, reachable or not."""
+        return [
+            member
+            for member in self.view.agents(self.member.region)
+            if member.state is messages.MemberState.ready
+        ]
+
+    async def reach(
+        self,
+        member: ids.MemberId,
+        timeout: float,
+    ) -> links.Link | None:
+        """Return a link to another agent, dialing it if necessary."""
+        return await self.neighbours.reach(member, timeout)
+
     def worker_link(self, member: ids.MemberId) -> links.Link | None:
         """Return the link on which this coordinator reaches a worker."""
         if member == self.member.id:
@@ -97,46 +136,47 @@
     def tell_state(self) -> None:
         """Tell all peers when this agent starts or stops taking work."""
         state = messages.MemberState.ready
+        rule = self.configuration.rules.workers.get(self.member.id)
         endpoint = self.worker.endpoint.announcement
         leaving = (
             endpoint is not None
             and endpoint.state is announcements.EndpointState.leaving
         )
-        if leaving or self.stopping.is_set():
+        ruled = rule is not None and rule.state == _LEAVING
+        if leaving or ruled or self.stopping.is_set():
             state = messages.MemberState.leaving
-        if state is self.member.state:
-            return
-        self.member = msgspec.structs.replace(
-            self.member,
-            state=state,
-            version=self.member.version + 1,
-        )
-        self.view.replace_own(self.member)
-        for link in self.all_links():
-            link.send(messages.Leaving(self.member))
+        elif self.member.state is not state:
+            self.submissions.stability.passed_over(time.monotonic())
+        self.set_state(state)
+
+    async def follow_rules(self) -> None:
+        """Apply the operators' rule for this worker, until cancelled."""
+        while True:
+            self.tell_state()
+            await asyncio.sleep(_TICK_SECONDS)
 
     async def drain(self) -> None:
-        """Take no new work, finish what runs, within the set time."""
+        """Take no new work, finish what runs, within the set time.
+
+        The work must be over for a moment, as grants may be on their way
+        from coordinators that have not read the announcement yet.
+        """
         self.tell_state()
         limit = time.monotonic() + self.settings.limits.drain
-        while time.monotonic() < limit and self.busy():
+        quiet = 0
+        while time.monotonic() < limit and quiet < _QUIET_TICKS:
+            quiet = 0 if self.busy() else quiet + 1
             await asyncio.sleep(_TICK_SECONDS / 5)
 
     def busy(self) -> bool:
         """Tell whether jobs or tasks are unfinished here."""
         return bool(
-            self.coordinator.jobs or self.worker.running or self.worker.queue,
+            self.coordinator.jobs
+            or self.submissions.undecided
+            or self.worker.running
+            or self.worker.queue,
         )
 
-    def _follow(self, member: messages.Member) -> None:
-        if member.role is not messages.Role.agent:
-            return
-        if member.region != self.member.region:
-            return
-        self.drop_dialer(member.id)
-        if member.state is not messages.MemberState.gone:
-            self.ensure_dialer(member)
-
 
 async def run(config: settings.Settings) -> None:
     """Run an agent until a stop signal, then drain it."""
@@ -151,15 +191,41 @@
         stack.push_async_callback(platform.close)
         await links.serve(process, stack)
         await serve_http(process, stack)
-        process.spawn(membership.register(process, platform), 'register')
+        process.spawn(register(process, platform), 'register')
         process.spawn(node.bootstrap(process), 'bootstrap')
+        process.spawn(process.follow_rules(), 'rules')
+        process.spawn(process.submissions.expire(), 'expiry')
+        process.spawn(process.neighbours.maintain(), 'neighbours')
         logger.info('agent %s is ready', process.member.id)
         await process.stopping.wait()
-        await process.drain()
-        await membership.unregister(process, platform)
+        await stop(process, platform)
         await process.cancel_tasks()
 
 
+async def register(process: Agent, platform: store.Store) -> None:
+    """Register once and note whether the place was free."""
+    free = await membership.register(process, platform)
+    process.submissions.stability.clean_start = free
+
+
+async def stop(process: Agent, platform: store.Store) -> None:
+    """Finish all work, hand the records over and end the links.
+
+    An agent whose records were not all taken stays registered: resubmissions
+    of its keys are then answered as indeterminate for their window.
+    """
+    await process.drain()
+    complete = await handover.hand_over(process)
+    # What an earlier incarnation lost stays unknown for its whole time.
+    complete = complete and process.submissions.clean()
+    if complete:
+        process.set_state(messages.MemberState.gone)
+    # Entries write the registrations of linked agents back, so links go first.
+    await links.finish(process)
+    if complete:
+        await membership.unregister(process, platform)
+
+
 async def serve_http(
     process: Agent,
     stack: contextlib.AsyncExitStack,
--- /dev/null
+++ b/src/poplardrum/daemons/contacts.py
@@ -0,0 +1,73 @@
+"""Which members an entry has lost, and for how long."""
+
+import typing
+
+from poplardrum import ids
+from poplardrum.peers import links, messages
+
+if typing.TYPE_CHECKING:
+    from poplardrum.daemons import entry
+
+
+class Contact(typing.NamedTuple):
+    """Latest frame of one incarnation; `at` is monotonic seconds."""
+
+    incarnation: ids.Incarnation
+    at: float
+
+
+class Contacts:
+    """Remember when a lost member was last heard of."""
+
+    def __init__(self, process: 'entry.Entry') -> None:
+        """Start without lost members."""
+        self.process = process
+        self.lost: dict[ids.MemberId, Contact] = {}
+        self.missing: dict[ids.MemberId, Contact] = {}
+
+    def link_down(self, link: links.Link) -> None:
+        """Note the last frame of a link that has ended."""
+        self.lost[link.member.id] = Contact(
+            link.member.incarnation,
+            link.last_seen,
+        )
+
+    def passable(self, member: messages.Member, now: float) -> bool:
+        """Tell whether a first attempt may pass over an agent.
+
+        A live agent stops to call itself stable after the silence time
+        without a frame of this entry, so the entry waits as long from the
+        agent's last frame. A refused connection shows that no process is
+        there. An agent that this entry never reached may still be stable.
+        """
+        if self.process.link_to(member.id):
+            return False
+        failed = self.process.failed_dials.get(member.id)
+        if failed and failed.refused:
+            if failed.incarnation == member.incarnation:
+                return True
+        contact = self.lost.get(member.id)
+        if contact is None or contact.incarnation != member.incarnation:
+            return False
+        return now - contact.at >= self.process.settings.peers.silence
+
+    def overdue(self, now: float) -> list[messages.Member]:
+        """Return the members that were out of reach for a whole window."""
+        limits = self.process.settings.limits
+        wait = limits.window + limits.deadline
+        found = []
+        for member in self.process.view.members():
+            gone = member.state is messages.MemberState.gone
+            if gone or self._reached(member):
+                self.missing.pop(member.id, None)
+                continue
+            contact = self.missing.get(member.id)
+            if contact is None or contact.incarnation != member.incarnation:
+                self.missing[member.id] = Contact(member.incarnation, now)
+            elif now - contact.at >= wait:
+                found.append(member)
+        return found
+
+    def _reached(self, member: messages.Member) -> bool:
+        own = self.process.member.id
+        return member.id == own or self.process.link_to(member.id) is not None
--- a/src/poplardrum/daemons/entry.py
+++ b/src/poplardrum/daemons/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import time
 import typing
 
 from aiohttp import web
@@ -11,6 +12,7 @@
 from poplardrum.callers import routes as caller_routes
 from poplardrum.daemons import (
     configuration,
+    contacts,
     membership,
     node,
     router,
@@ -23,6 +25,8 @@
 logger = logging.getLogger(__name__)
 
 _TICK_SECONDS: typing.Final = 0.05
+# A process that stood still for longer than this counts as paused.
+_PAUSE: typing.Final = 1.0
 
 
 class Entry(node.Node):
@@ -38,7 +42,10 @@
         super().__init__(config, messages.Role.entry, stack)
         self.platform = platform
         self.router = router.Router(self)
+        self.contacts = contacts.Contacts(self)
         self.requests = 0
+        self.ticked = time.monotonic()
+        self.resumed = float('-inf')
 
     def observe(self, link: links.Link) -> None:
         """Offer the configuration to a peer that runs by an older one."""
@@ -46,6 +53,10 @@
 
     def member_seen(self, member: messages.Member) -> None:
         """Keep links to all agents and tell the peers about changes."""
+        if member.id == self.member.id:
+            if self.correct_own(member):
+                membership.spread(self, [self.member])
+            return
         changed = self.view.merge([member])
         for newer in changed:
             self._follow(newer)
@@ -54,6 +65,8 @@
     def link_down(self, link: links.Link) -> None:
         """Fail the requests that waited on a broken link."""
         super().link_down(link)
+        if link.dialed:
+            self.contacts.link_down(link)
         self.router.link_down(link)
 
     def ready(self) -> None:
@@ -64,6 +77,12 @@
                 'this entry is stopping',
                 retry_after=1,
             )
+        if not self.joined:
+            raise errors.refusal(
+                errors.Code.unavailable,
+                'the members of the system are not known yet',
+                retry_after=1,
+            )
         if not self.configuration.number:
             raise errors.refusal(
                 errors.Code.no_configuration,
@@ -71,6 +90,35 @@
                 retry_after=1,
             )
 
+    def live_agents(self) -> list[messages.Member]:
+        """Return the agents that this entry has links to."""
+        return [
+            link.member
+            for link in self.links.values()
+            if link.is_open
+            and link.member.role is messages.Role.agent
+            and link.member.state is not messages.MemberState.gone
+        ]
+
+    def just_resumed(self) -> bool:
+        """Tell whether this process was paused a moment ago.
+
+        Requests that waited in its sockets meanwhile may be older than
+        resubmissions that went through other entries.
+        """
+        now = time.monotonic()
+        return now - self.ticked > _PAUSE or now - self.resumed < _PAUSE
+
+    async def watch_pauses(self) -> None:
+        """Note when this process resumes after a pause."""
+        while True:
+            now = time.monotonic()
+            if now - self.ticked > _PAUSE:
+                logger.warning('paused for %.1f s', now - self.ticked)
+                self.resumed = now
+            self.ticked = now
+            await asyncio.sleep(_PAUSE / 4)
+
     async def readiness(self, request: web.Request) -> web.Response:
         """Answer the readiness probe of the balancer."""
         try:
@@ -88,12 +136,11 @@
                     await asyncio.sleep(_TICK_SECONDS)
 
     def _follow(self, member: messages.Member) -> None:
-        if member.role is not messages.Role.agent:
-            return
         link = self.link_to(member.id)
         if link and link.member.incarnation == member.incarnation:
             link.member = member
-            return
+            if member.state is not messages.MemberState.gone:
+                return
         self.drop_dialer(member.id)
         if member.state is not messages.MemberState.gone:
             self.ensure_dialer(member)
@@ -111,17 +158,37 @@
         signals.install(process.stopping)
         await links.serve(process, stack)
         await serve_http(process, stack)
-        process.spawn(membership.register(process, platform), 'register')
-        process.spawn(membership.watch(process, platform), 'members')
-        process.spawn(configuration.watch(process, platform), 'config')
-        process.spawn(node.bootstrap(process), 'bootstrap')
+        start_tasks(process, platform)
         logger.info('entry %s listens', process.member.id)
         await process.stopping.wait()
-        await process.drain()
-        await membership.unregister(process, platform)
+        await stop(process, platform)
         await process.cancel_tasks()
 
 
+def start_tasks(process: Entry, platform: store.Store) -> None:
+    """Start what runs beside the servers."""
+    process.spawn(register(process, platform), 'register')
+    process.spawn(membership.watch(process, platform), 'members')
+    process.spawn(membership.sweep(process, platform), 'sweep')
+    process.spawn(configuration.watch(process, platform), 'config')
+    process.spawn(process.watch_pauses(), 'pauses')
+    process.spawn(node.bootstrap(process), 'bootstrap')
+
+
+async def register(process: Entry, platform: store.Store) -> None:
+    """Register once; an entry keeps nothing that a restart could lose."""
+    await membership.register(process, platform)
+
+
+async def stop(process: Entry, platform: store.Store) -> None:
+    """Finish the requests in flight and end the links."""
+    process.set_state(messages.MemberState.leaving)
+    await process.drain()
+    process.set_state(messages.MemberState.gone)
+    await links.finish(process)
+    await membership.unregister(process, platform)
+
+
 async def serve_http(
     process: Entry,
     stack: contextlib.AsyncExitStack,
--- /dev/null
+++ b/src/poplardrum/daemons/forwarding.py
@@ -0,0 +1,206 @@
+"""The way of one request from an entry to the owner of its key."""
+
+import asyncio
+import enum
+import time
+import typing
+
+import msgspec
+
+from poplardrum import errors, ids
+from poplardrum.peers import links, messages
+
+if typing.TYPE_CHECKING:
+    from poplardrum.daemons import router
+
+Request = messages.SubmitJob | messages.FetchJob | messages.CancelJob
+
+_MAX_REDIRECTS: typing.Final = 8
+_PAUSE_SECONDS: typing.Final = 0.05
+# Time for a broken link to come back, or for a stop to complete, before an
+# attempt that is not the first is answered as indeterminate.
+_GRACE_SECONDS: typing.Final = 1.0
+# Time beyond the silence limit after which no agent is expected any more.
+_PATIENCE_SECONDS: typing.Final = 2.0
+_ELSEWHERE: typing.Final = frozenset(
+    (errors.Code.stopping, errors.Code.unavailable),
+)
+
+
+class Loss(enum.Enum):
+    """Why a request has no reply."""
+
+    # It was never written: it may go elsewhere as it was.
+    unsent = 'unsent'
+    # The link broke after it may have been read.
+    maybe_read = 'maybe_read'
+
+
+Reply = messages.JobReply | Loss
+
+
+class Forwarding:
+    """Forward one request until it has an answer."""
+
+    def __init__(
+        self,
+        owner: 'router.Router',
+        item: Request,
+        region: str,
+        timeout: float,
+    ) -> None:
+        """Forward `item` within `timeout` seconds."""
+        self.router = owner
+        self.process = owner.process
+        self.item = item
+        self.region = region
+        self.began = time.monotonic()
+        self.deadline = self.began + timeout
+        self.first = getattr(item, 'first', False)
+        self.redirects = 0
+        self.target: ids.MemberId | None = None
+        self.grace: float | None = None
+        self.waiting: float | None = None
+
+    async def run(self) -> messages.Answer:
+        """Return the answer, or raise what is known of the request."""
+        while True:
+            link = self.choose()
+            if link is None:
+                await self.pause(_GRACE_SECONDS)
+                continue
+            reply = await self.router.exchange(
+                self.prepared(link),
+                link,
+                max(0, self.deadline - time.monotonic()),
+            )
+            answer = await self.judge(reply, link)
+            if answer is not None:
+                return answer
+
+    def choose(self) -> links.Link | None:
+        """Return the link to the owner, or to the first agent in rank."""
+        if self.target is not None:
+            return self.process.link_to(self.target)
+        for member in self.router.ranked(self.item, self.region):
+            link = self.process.link_to(member.id)
+            if link and link.member.state is messages.MemberState.ready:
+                return link
+        return None
+
+    def prepared(self, link: links.Link) -> Request:
+        """Return the request as it goes out on a link now."""
+        request = self.router.next_request()
+        if not isinstance(self.item, messages.SubmitJob):
+            return msgspec.structs.replace(self.item, request=request)
+        now = time.monotonic()
+        return msgspec.structs.replace(
+            self.item,
+            request=request,
+            first=self.first,
+            deadline_ms=self.item.span_ms - (now - self.began) * 1000,
+            unreachable=self.passable_before(link.member.id, now),
+        )
+
+    def passable_before(
+        self,
+        target: ids.MemberId,
+        now: float,
+    ) -> list[ids.MemberId]:
+        """Return the agents ranked above `target` that may be passed over."""
+        found: list[ids.MemberId] = []
+        for member in self.router.ranked(self.item, self.region):
+            if member.id == target:
+                break
+            if self.process.contacts.passable(member, now):
+                found.append(member.id)
+        return found
+
+    async def judge(
+        self,
+        reply: Reply,
+        link: links.Link,
+    ) -> messages.Answer | None:
+        """Return the final answer, or `None` to send the request again."""
+        if isinstance(reply, Loss):
+            await self.lost(reply, link)
+            return None
+        if reply.redirect is not None:
+            self.follow(reply.redirect)
+            return None
+        answer = reply.answer
+        if answer.code in _ELSEWHERE:
+            self.target = None
+            silence = self.process.settings.peers.silence
+            await self.pause(silence + _PATIENCE_SECONDS)
+            return None
+        if answer.code is errors.Code.indeterminate and self.may_retry():
+            self.target = None
+            await asyncio.sleep(_PAUSE_SECONDS)
+            return None
+        return answer
+
+    async def lost(self, loss: Loss, link: links.Link) -> None:
+        """Prepare to send a request again whose link has closed."""
+        self.target = None
+        if loss is Loss.unsent:
+            await self.pause(_GRACE_SECONDS)
+            return
+        # The coordinator may have read it, so it is a first attempt no more.
+        self.first = False
+        limit = time.monotonic() + _GRACE_SECONDS
+        while self.may_return(link) and time.monotonic() < limit:
+            await asyncio.sleep(_PAUSE_SECONDS / 5)
+
+    def may_return(self, link: links.Link) -> bool:
+        """Tell whether the coordinator of a broken link may come back."""
+        failed = self.process.failed_dials.get(link.member.id)
+        refused = failed is not None and failed.refused
+        known = self.process.view.get(link.member.id)
+        if refused or known is None:
+            return False
+        gone = known.state is messages.MemberState.gone
+        return not gone and self.process.link_to(known.id) is None
+
+    def follow(self, owner: ids.MemberId) -> None:
+        """Turn to the agent that a reply names."""
+        self.redirects += 1
+        if self.redirects > _MAX_REDIRECTS:
+            raise errors.uncertain(
+                errors.Code.indeterminate,
+                'the agents disagree about the owner of this key',
+            )
+        self.target = owner
+
+    def may_retry(self) -> bool:
+        """Tell whether an indeterminate attempt may be sent once more."""
+        now = time.monotonic()
+        if self.grace is None:
+            self.grace = now + _GRACE_SECONDS
+        return now < min(self.grace, self.deadline)
+
+    async def pause(self, patience: float) -> None:
+        """Wait a little for an agent; raise when it takes too long.
+
+        `patience` is in seconds, from the first time that none was found.
+        """
+        now = time.monotonic()
+        if self.waiting is None:
+            self.waiting = now
+        if now < min(self.waiting + patience, self.deadline):
+            await asyncio.sleep(_PAUSE_SECONDS)
+            return
+        if self.target is not None:
+            raise errors.uncertain(
+                errors.Code.indeterminate,
+                'the coordinator of this key cannot be reached',
+            )
+        verdict = errors.Verdict.may_have_run
+        if self.first:
+            verdict = errors.Verdict.not_run
+        raise errors.PoplardrumError(
+            errors.Code.unavailable,
+            verdict,
+            f'no agent of region {self.region} can take the request',
+            retry_after=1,
+        )
--- /dev/null
+++ b/src/poplardrum/daemons/handover.py
@@ -0,0 +1,176 @@
+"""Hand-over of records and tombstones at the planned stop of an agent."""
+
+import collections
+import logging
+import time
+import typing
+
+from poplardrum import ids
+from poplardrum.coordination import records, views
+from poplardrum.peers import dispatch, links, messages
+
+if typing.TYPE_CHECKING:
+    from poplardrum.daemons import agent
+
+logger = logging.getLogger(__name__)
+
+# Limits of one message, so that it cannot hold up a link for long.
+_BATCH_BYTES: typing.Final = 2**18
+_BATCH_ITEMS: typing.Final = 500
+
+Kept = messages.KeptRecord | messages.KeptTombstone
+
+
+async def hand_over(process: 'agent.Agent') -> bool:
+    """Give all that is kept to the agents that rank first without this one.
+
+    Returns whether all was acknowledged: only then can this agent be
+    forgotten, as its successor knows every key that it has started.
+    """
+    ledger = process.submissions.ledger
+    ledger.closed = True
+    complete = True
+    for member, kept in collect(process, time.monotonic()).items():
+        for batch in batches(kept):
+            if not await give(process, member, batch):
+                logger.warning('records stay behind, successor %r', member)
+                complete = False
+                break
+    return complete
+
+
+def collect(
+    process: 'agent.Agent',
+    now: float,
+) -> dict[ids.MemberId, list[Kept]]:
+    """Return what is kept by the agent that is to take it."""
+    kept = process.submissions.ledger.records
+    kept.expire(now)
+    others = [
+        member
+        for member in process.ready_members()
+        if member.id != process.member.id
+    ]
+    found: dict[ids.MemberId, list[Kept]] = collections.defaultdict(list)
+    for key, record in kept.by_key.items():
+        if record.answer is not None:
+            target = successor(key, others)
+            found[target].append(
+                messages.KeptRecord(
+                    *key,
+                    record.digest,
+                    record.answer,
+                    record.expires - now,
+                ),
+            )
+    for buried, tombstone in kept.tombstones.items():
+        found[successor(buried, others)].append(
+            messages.KeptTombstone(
+                *buried,
+                tombstone.owner,
+                tombstone.expires - now,
+            ),
+        )
+    return found
+
+
+def successor(
+    key: records.RecordKey,
+    others: list[messages.Member],
+) -> ids.MemberId:
+    """Return the agent that ranks first for a key; empty if there is none."""
+    ranked = views.rank(*key, others)
+    return ranked[0].id if ranked else ids.MemberId('')
+
+
+def batches(kept: list[Kept]) -> typing.Iterator[list[Kept]]:
+    """Split what one agent takes into messages of bounded size."""
+    batch: list[Kept] = []
+    size = 0
+    for item in kept:
+        batch.append(item)
+        if isinstance(item, messages.KeptRecord):
+            size += records.size_of(item.answer)
+        if len(batch) >= _BATCH_ITEMS or size >= _BATCH_BYTES:
+            yield batch
+            batch, size = [], 0
+    if batch:
+        yield batch
+
+
+async def give(
+    process: 'agent.Agent',
+    member: ids.MemberId,
+    batch: list[Kept],
+) -> bool:
+    """Hand one batch over; `False` if it was not acknowledged."""
+    inquirer = process.submissions.inquirer
+    reply = await inquirer.exchange(
+        member,
+        messages.HandOver(
+            inquirer.next_request(),
+            [item for item in batch if isinstance(item, messages.KeptRecord)],
+            [
+                item
+                for item in batch
+                if isinstance(item, messages.KeptTombstone)
+            ],
+        ),
+    )
+    if not isinstance(reply, messages.HandOverAck):
+        return False
+    return reply.accepted == len(batch)
+
+
+@dispatch.receive.register(messages.HandOver)
+def _hand_over(
+    item: messages.HandOver,
+    process: 'agent.Agent',
+    link: links.Link,
+) -> None:
+    ledger = process.submissions.ledger
+    now = time.monotonic()
+    accepted = 0
+    if not ledger.closed:
+        for kept in item.records:
+            take_record(ledger.records, kept, now)
+        for buried in item.tombstones:
+            take_tombstone(process, buried, now)
+        accepted = len(item.records) + len(item.tombstones)
+    link.send(messages.HandOverAck(item.request, accepted))
+
+
+def take_record(
+    kept: records.Records,
+    item: messages.KeptRecord,
+    now: float,
+) -> None:
+    """Keep a record of an agent that stops."""
+    kept.take(
+        (item.tenant, item.key),
+        records.Record(
+            job=item.answer.job,
+            digest=item.digest,
+            phase=records.RecordPhase.finished,
+            answer=item.answer,
+            expires=now + item.expires_in,
+            size=records.size_of(item.answer),
+        ),
+    )
+
+
+def take_tombstone(
+    process: 'agent.Agent',
+    item: messages.KeptTombstone,
+    now: float,
+) -> None:
+    """Keep a promise of an agent that stops, unless the key is known."""
+    kept = process.submissions.ledger.records
+    key = (item.tenant, item.key)
+    if item.owner == process.member.id or key in kept.by_key:
+        return
+    if kept.owner(key, now) is None:
+        kept.tombstones[key] = records.Tombstone(
+            item.owner,
+            now + item.expires_in,
+        )
--- a/src/poplardrum/daemons/membership.py
+++ b/src/poplardrum/daemons/membership.py
@@ -2,34 +2,93 @@
 
 import asyncio
 import logging
+import time
 import typing
 
 import msgspec
 
-from poplardrum import errors
+from poplardrum import errors, ids
 from poplardrum.peers import dispatch, links, messages
 from poplardrum.platform import store
 
 if typing.TYPE_CHECKING:
-    from poplardrum.daemons import node
+    from poplardrum.daemons import entry, node
 
 logger = logging.getLogger(__name__)
 
 _WATCH_SECONDS: typing.Final = 55.0
 _RETRY_SECONDS: typing.Final = 1.0
+_SWEEP_SECONDS: typing.Final = 15.0
 
 
-async def register(process: 'node.Node', platform: store.Store) -> None:
-    """Write this process's entry, trying until the platform takes it."""
+async def register(process: 'node.Node', platform: store.Store) -> bool:
+    """Write this process's entry, trying until the platform takes it.
+
+    Returns whether the place was free, so that no earlier incarnation has
+    ended without handing over its records.
+    """
     key = store.MEMBERS_PREFIX + process.member.id
+    free: bool | None = None
     while True:
         try:
+            if free is None:
+                free = not (await platform.read(key)).values
             await platform.write(key, msgspec.json.encode(process.member))
         except errors.PoplardrumError as error:
             logger.warning('registration: %s', error.message)
             await asyncio.sleep(_RETRY_SECONDS)
             continue
-        return
+        return free
+
+
+async def sweep(process: 'entry.Entry', platform: store.Store) -> None:
+    """Remove members that have been out of reach for a whole window."""
+    interval = min(_SWEEP_SECONDS, process.settings.limits.window / 4)
+    while True:
+        await asyncio.sleep(interval)
+        for member in process.contacts.overdue(time.monotonic()):
+            if await remove(platform, member):
+                logger.info('member %s is gone', member.id)
+                gone = msgspec.structs.replace(
+                    member,
+                    state=messages.MemberState.gone,
+                    version=member.version + 1,
+                )
+                process.member_seen(gone)
+
+
+async def remove(platform: store.Store, member: messages.Member) -> bool:
+    """Remove the registration of one incarnation; `False` if not possible."""
+    key = store.MEMBERS_PREFIX + member.id
+    try:
+        snapshot = await platform.read(key)
+        for stored in snapshot.values:
+            found = msgspec.json.decode(stored.value, type=messages.Member)
+            if found.incarnation == member.incarnation:
+                await platform.delete(key)
+    except (errors.PoplardrumError, msgspec.DecodeError) as error:
+        logger.warning('removal of %s: %s', member.id, error)
+        return False
+    return True
+
+
+async def restore(
+    process: 'entry.Entry',
+    platform: store.Store,
+    stored: set[ids.MemberId],
+) -> None:
+    """Write the registrations of live agents that the platform has lost."""
+    for member in process.live_agents():
+        if member.id in stored:
+            continue
+        try:
+            await platform.write(
+                store.MEMBERS_PREFIX + member.id,
+                msgspec.json.encode(member),
+                expected=0,
+            )
+        except errors.PoplardrumError as error:
+            logger.warning('registration of %s: %s', member.id, error.message)
 
 
 async def unregister(process: 'node.Node', platform: store.Store) -> None:
@@ -40,7 +99,7 @@
         logger.warning('removal of the registration: %s', error.message)
 
 
-async def watch(process: 'node.Node', platform: store.Store) -> None:
+async def watch(process: 'entry.Entry', platform: store.Store) -> None:
     """Follow the registrations in the platform until cancelled."""
     index = 0
     while True:
@@ -59,6 +118,18 @@
         index = snapshot.index
         for stored in snapshot.values:
             _take(process, stored)
+        process.joined = True
+        await _restore_missing(process, platform, snapshot)
+
+
+async def _restore_missing(
+    process: 'entry.Entry',
+    platform: store.Store,
+    snapshot: store.Snapshot,
+) -> None:
+    prefix = len(store.MEMBERS_PREFIX)
+    stored = {ids.MemberId(value.key[prefix:]) for value in snapshot.values}
+    await restore(process, platform, stored)
 
 
 def _take(process: 'node.Node', stored: store.StoredValue) -> None:
--- a/src/poplardrum/daemons/node.py
+++ b/src/poplardrum/daemons/node.py
@@ -7,16 +7,26 @@
 import time
 import typing
 
+import msgspec
 from aiohttp import web
 
-from poplardrum import ids, metrics, settings
+from poplardrum import ids, ini, metrics, settings
 from poplardrum.coordination import views
 from poplardrum.operators import document
-from poplardrum.peers import links, messages
+from poplardrum.peers import dispatch, links, messages
 
 logger = logging.getLogger(__name__)
 
 
+class FailedDial(typing.NamedTuple):
+    """Latest failure to reach a member; `at` is monotonic seconds."""
+
+    incarnation: ids.Incarnation
+    at: float
+    refused: bool
+    timed_out: bool
+
+
 class Node:
     """One process of the system: its identity, links and view."""
 
@@ -47,6 +57,8 @@
         self.links: dict[ids.MemberId, links.Link] = {}
         self.inbound: dict[ids.MemberId, links.Link] = {}
         self.dialers: dict[ids.MemberId, asyncio.Task[None]] = {}
+        self.failed_dials: dict[ids.MemberId, FailedDial] = {}
+        self.joined = False
         self.configuration = document.Holder()
         self.tasks: set[asyncio.Task[typing.Any]] = set()
         stack.push_async_callback(self.cancel_tasks)
@@ -79,14 +91,22 @@
             task.cancel()
         await asyncio.gather(*pending, return_exceptions=True)
 
-    def frame(self, items: list[messages.AnyItem]) -> messages.Frame:
-        """Wrap items for one peer with the state that every frame carries."""
+    def frame(
+        self,
+        items: list[messages.AnyItem],
+        echo: float = 0,
+    ) -> messages.Frame:
+        """Wrap items for one peer with the state that every frame carries.
+
+        `echo` is the peer's time on its latest frame.
+        """
         self.metrics.frames.inc()
         return messages.Frame(
             sent=time.monotonic(),
             config=self.configuration.number,
             items=items,
             load=self.load(),
+            echo=echo,
         )
 
     def load(self) -> messages.Load | None:
@@ -96,6 +116,10 @@
     def observe(self, link: links.Link) -> None:
         """Use what the last frame of a link said besides its items."""
 
+    def cut_off(self) -> bool:
+        """Tell whether this process must look for its peers again."""
+        return not self.joined
+
     def known_members(self) -> list[messages.Member]:
         """Return this process and all members of its view."""
         return self.view.members()
@@ -104,6 +128,20 @@
         """Take note of a member that a peer or the platform named."""
         self.view.merge([member])
 
+    def correct_own(self, member: messages.Member) -> bool:
+        """Overrule a peer that holds an untrue state of this process.
+
+        A process that was paused for long may have been taken for gone.
+        """
+        own = self.member
+        if member.incarnation != own.incarnation:
+            return False
+        if member.state is own.state or member.version < own.version:
+            return False
+        self.member = msgspec.structs.replace(own, version=member.version + 1)
+        self.view.replace_own(self.member)
+        return True
+
     def all_links(self) -> list[links.Link]:
         """Return all live links, dialed or accepted."""
         return [*self.links.values(), *self.inbound.values()]
@@ -117,6 +155,8 @@
         """Register a new link."""
         table = self.links if link.dialed else self.inbound
         table[link.member.id] = link
+        self.failed_dials.pop(link.member.id, None)
+        self.joined = True
         self.member_seen(link.member)
         logger.info('link to %s is up', link.member.id)
 
@@ -125,9 +165,32 @@
         table = self.links if link.dialed else self.inbound
         if table.get(link.member.id) is link:
             table.pop(link.member.id)
-        link.outbox.close()
+        for item in link.outbox.close():
+            dispatch.dropped(item, self)
         logger.info('link to %s is down', link.member.id)
 
+    def dial_failed(self, member: messages.Member, error: Exception) -> None:
+        """Note that `member` could not be reached, or broke its link."""
+        self.failed_dials[member.id] = FailedDial(
+            member.incarnation,
+            time.monotonic(),
+            refused=isinstance(error, ConnectionRefusedError),
+            timed_out=isinstance(error, TimeoutError),
+        )
+
+    def set_state(self, state: messages.MemberState) -> None:
+        """Change the state of this process and announce it on all links."""
+        if state is self.member.state:
+            return
+        self.member = msgspec.structs.replace(
+            self.member,
+            state=state,
+            version=self.member.version + 1,
+        )
+        self.view.replace_own(self.member)
+        for link in self.all_links():
+            link.send(messages.Leaving(self.member))
+
     async def serve_metrics(self, request: web.Request) -> web.Response:
         """Return all figures in the Prometheus text form."""
         return web.Response(body=self.metrics.text(), content_type='text/plain')
@@ -176,13 +239,25 @@
 
 
 async def bootstrap(process: Node) -> None:
-    """Join at the peers of the settings until one of them answers."""
+    """Join once at each peer of the settings, and again when cut off."""
+    own = process.settings.listen.peers
+    peers = [peer for peer in process.settings.peers.bootstrap if peer != own]
+    done: set[ini.Address] = set()
     while True:
-        for address in process.settings.peers.bootstrap:
-            try:
-                members = await links.join(process, address)
-            except (OSError, EOFError, TimeoutError, *links.RPC_ERRORS):
-                continue
-            for member in members:
-                process.member_seen(member)
+        if process.cut_off():
+            done.clear()
+        for address in peers:
+            if address not in done and await _join(process, address):
+                done.add(address)
         await asyncio.sleep(process.settings.peers.heartbeat)
+
+
+async def _join(process: Node, address: ini.Address) -> bool:
+    try:
+        members = await links.join(process, address)
+    except (OSError, EOFError, TimeoutError, *links.RPC_ERRORS):
+        return False
+    process.joined = True
+    for member in members:
+        process.member_seen(member)
+    return True
--- a/src/poplardrum/daemons/router.py
+++ b/src/poplardrum/daemons/router.py
@@ -3,28 +3,29 @@
 import asyncio
 import dataclasses
 import itertools
+import time
 import typing
 
+import msgspec
+
 from poplardrum import errors, ids
 from poplardrum.coordination import views
+from poplardrum.daemons import forwarding
 from poplardrum.peers import dispatch, links, messages
 
 if typing.TYPE_CHECKING:
     from poplardrum.daemons import entry
 
-_MAX_REDIRECTS: typing.Final = 4
 _MAX_HINTS: typing.Final = 64
 
-Request = messages.SubmitJob | messages.FetchJob | messages.CancelJob
-
 
 @dataclasses.dataclass
 class Pending:
     """A request whose reply has not come yet."""
 
-    item: Request
+    item: forwarding.Request
     link: links.Link
-    reply: asyncio.Future[messages.JobReply]
+    reply: asyncio.Future[forwarding.Reply]
 
 
 class Router:
@@ -53,67 +54,62 @@
         return found[:_MAX_HINTS]
 
     def unreachable(self, region: str) -> list[ids.MemberId]:
-        """Return the agents of a region without a live link."""
+        """Return the agents of a region that may be passed over."""
+        now = time.monotonic()
         return [
             member.id
             for member in self.process.view.agents(region)
-            if self.process.link_to(member.id) is None
+            if self.process.contacts.passable(member, now)
         ]
 
     async def call(
         self,
-        item: Request,
+        item: forwarding.Request,
         region: str,
         timeout: float,
     ) -> messages.Answer:
         """Send a request to its coordinator and return the answer.
 
-        Raises `unavailable` when nothing was sent, `link_lost` or `deadline`
-        when the request may have run.
+        Raises `unavailable` when nothing was started, `indeterminate` or
+        `deadline` when the request may have run.
         """
-        link = self.coordinator(item, region)
-        for _ in range(_MAX_REDIRECTS):
-            reply = await self._exchange(item, link, timeout)
-            if reply.redirect is None:
-                return reply.answer
-            target = self.process.link_to(reply.redirect)
-            if target is None:
-                break
-            link = target
-        raise errors.uncertain(
-            errors.Code.indeterminate,
-            'the coordinator of this key cannot be reached',
-        )
-
-    def coordinator(self, item: Request, region: str) -> links.Link:
-        """Return the link to the first agent in rank that can be reached."""
+        if isinstance(item, messages.SubmitJob):
+            first = item.first and not self.process.just_resumed()
+            item = msgspec.structs.replace(
+                item,
+                first=first,
+                span_ms=item.deadline_ms,
+            )
+        return await forwarding.Forwarding(self, item, region, timeout).run()
+
+    def ranked(
+        self,
+        item: forwarding.Request,
+        region: str,
+    ) -> list[messages.Member]:
+        """Return the agents of a region, the best for the key first."""
         agents = self.process.view.agents(region)
-        for member in views.rank(item.tenant, item.key, agents):
-            link = self.process.link_to(member.id)
-            if link and link.member.state is messages.MemberState.ready:
-                return link
-        raise errors.refusal(
-            errors.Code.unavailable,
-            f'no agent of region {region} can be reached',
-            retry_after=1,
-        )
+        return views.rank(item.tenant, item.key, agents)
 
-    async def _exchange(
+    async def exchange(
         self,
-        item: Request,
+        item: forwarding.Request,
         link: links.Link,
         timeout: float,
-    ) -> messages.JobReply:
-        loop = asyncio.get_running_loop()
-        pending = Pending(item, link, loop.create_future())
+    ) -> forwarding.Reply:
+        """Send a request once; return its reply or how it was lost.
+
+        Raises `deadline` after `timeout` seconds.
+        """
+        pending = Pending(
+            item,
+            link,
+            asyncio.get_running_loop().create_future(),
+        )
         self.pending[item.request] = pending
         try:
             if not link.send(item):
-                raise errors.refusal(
-                    errors.Code.unavailable,
-                    'the link to the coordinator has just closed',
-                    retry_after=1,
-                )
+                return forwarding.Loss.unsent
             async with asyncio.timeout(timeout):
                 return await pending.reply
         except TimeoutError:
@@ -124,16 +120,24 @@
         finally:
             self.pending.pop(item.request, None)
 
+    def settle(
+        self,
+        request: ids.RequestId,
+        outcome: forwarding.Reply,
+        link: links.Link | None = None,
+    ) -> None:
+        """End the wait of a request, once."""
+        pending = self.pending.get(request)
+        if pending is None or pending.reply.done():
+            return
+        if link is None or pending.link is link:
+            pending.reply.set_result(outcome)
+
     def link_down(self, link: links.Link) -> None:
-        """Fail the requests that waited for a reply on a broken link."""
-        for pending in list(self.pending.values()):
-            if pending.link is link and not pending.reply.done():
-                pending.reply.set_exception(
-                    errors.uncertain(
-                        errors.Code.link_lost,
-                        'the link to the coordinator broke',
-                    ),
-                )
+        """Note the loss of the requests that waited on a broken link."""
+        for request, pending in list(self.pending.items()):
+            if pending.link is link:
+                self.settle(request, forwarding.Loss.maybe_read)
 
 
 @dispatch.receive.register(messages.JobReply)
@@ -142,6 +146,14 @@
     process: 'entry.Entry',
     link: links.Link,
 ) -> None:
-    pending = process.router.pending.get(item.request)
-    if pending and pending.link is link and not pending.reply.done():
-        pending.reply.set_result(item)
+    process.router.settle(item.request, item, link)
+
+
+@dispatch.dropped.register(messages.SubmitJob)
+@dispatch.dropped.register(messages.FetchJob)
+@dispatch.dropped.register(messages.CancelJob)
+def _dropped(
+    item: forwarding.Request,
+    process: 'entry.Entry',
+) -> None:
+    process.router.settle(item.request, forwarding.Loss.unsent)
--- a/src/poplardrum/daemons/submissions.py
+++ b/src/poplardrum/daemons/submissions.py
@@ -1,21 +1,48 @@
 """The coordinator side of an agent: submissions, their records and replies."""
 
+import asyncio
+import dataclasses
+import logging
 import time
 import typing
 
 from poplardrum import errors, ids
-from poplardrum.coordination import records
+from poplardrum.coordination import inquiries, ledger, records, stability
+from poplardrum.daemons import inquirer
 from poplardrum.peers import dispatch, links, messages
 
 if typing.TYPE_CHECKING:
     from poplardrum.daemons import agent
 
+logger = logging.getLogger(__name__)
+
+_EXPIRE_SECONDS: typing.Final = 1.0
+# Part of the silence limit that clocks of different rates may take up.
+_LEASE_PART: typing.Final = 0.9
+
 
 class Waiter(typing.NamedTuple):
-    """An entry's request that waits for a job's answer."""
+    """An entry's request for a key; `wait` is for the end of the job."""
 
     link: links.Link
     request: ids.RequestId
+    wait: bool = True
+
+
+@dataclasses.dataclass
+class Submission:
+    """A submission of an unknown key; `began` is monotonic seconds."""
+
+    item: messages.SubmitJob
+    age: float
+    began: float
+    inquiry: inquiries.Inquiry
+    waiters: list[Waiter]
+
+    @property
+    def key(self) -> records.RecordKey:
+        """Return the key of the submission."""
+        return (self.item.tenant, self.item.key)
 
 
 class Submissions:
@@ -25,58 +52,181 @@
         """Start without records."""
         limits = process.settings.limits
         self.process = process
-        self.records = records.Records(limits.records, limits.window)
+        self.records = records.Records(
+            limits.records,
+            limits.window,
+            limits.answers,
+        )
+        self.stability = stability.Stability(
+            time.monotonic(),
+            process.settings.peers.silence * _LEASE_PART,
+        )
+        self.ledger = ledger.Ledger(
+            process.view,
+            self.records,
+            self.stability,
+        )
+        self.inquirer = inquirer.Inquirer(process)
         self.waiters: dict[records.RecordKey, list[Waiter]] = {}
+        self.undecided: dict[records.RecordKey, Submission] = {}
+
+    async def expire(self) -> None:
+        """Drop what has outlived its window, until cancelled."""
+        while True:
+            await asyncio.sleep(_EXPIRE_SECONDS)
+            self.records.expire(time.monotonic())
 
     def submit(self, item: messages.SubmitJob, link: links.Link) -> None:
         """Start an unknown job, or attach to a known one."""
         key = (item.tenant, item.key)
-        waiter = Waiter(link, item.request)
-        record = self.records.get(key)
-        if record is None:
-            self.start(item, waiter, link.frame_age)
+        waiter = Waiter(link, item.request, item.wait)
+        if self.join(item, key, waiter):
             return
-        if record.digest != item.digest:
+        owner = self.records.owner(key, time.monotonic())
+        if owner is not None:
+            self.redirect(waiter, owner)
+        elif self.process.stopping.is_set():
+            self.refuse(waiter, errors.Code.stopping, 'agent is stopping')
+        else:
+            self.inquire(item, waiter, link.frame_age)
+
+    def join(
+        self,
+        item: messages.SubmitJob,
+        key: records.RecordKey,
+        waiter: Waiter,
+    ) -> bool:
+        """Attach to a known submission; `False` if the key is unknown."""
+        record = self.records.get(key)
+        submission = self.undecided.get(key)
+        if record is None and submission is None:
+            return False
+        known = record or (submission and submission.item)
+        if known and known.digest != item.digest:
             self.refuse(
                 waiter,
                 errors.Code.key_reused,
                 'the idempotency key was used with another body',
             )
-            return
-        self.attach(key, record, waiter, wait=item.wait)
+        elif record is not None:
+            self.attach(key, record, waiter)
+        elif submission is not None:
+            submission.waiters.append(waiter)
+        return True
 
-    def start(
+    def inquire(
         self,
         item: messages.SubmitJob,
         waiter: Waiter,
         age: float,
     ) -> None:
-        """Add the record of an unknown key and start its job."""
-        if self.process.stopping.is_set():
-            self.refuse(waiter, errors.Code.stopping, 'agent is stopping')
-            return
+        """Find out whether an unknown key may start here."""
         key = (item.tenant, item.key)
-        record = records.Record(ids.new_job(*key), item.digest)
+        now = time.monotonic()
+        # A frame that waited so long may be older than a resubmission that
+        # went elsewhere while this agent did not answer.
+        fresh = age < self.process.settings.peers.silence
+        attempt = inquiries.Attempt(
+            item.first and fresh,
+            self.ledger.hold(max(item.span_ms, item.deadline_ms) / 1000),
+            frozenset(item.unreachable),
+        )
+        inquiry = self.ledger.inquire(key, attempt, now)
+        submission = Submission(item, age, now, inquiry, [waiter])
+        if inquiry.outcome is not None:
+            self.conclude(submission)
+            return
+        self.undecided[key] = submission
+        self.process.spawn(self.ask(submission), f'inquiry {item.key}')
+
+    async def ask(self, submission: Submission) -> None:
+        """Ask the other agents, then act on the outcome."""
+        key = submission.key
+        try:
+            await self.inquirer.run(key, submission.inquiry)
+        finally:
+            self.undecided.pop(key, None)
+            self.ledger.settle(key, submission.inquiry)
+        self.conclude(submission)
+
+    def conclude(self, submission: Submission) -> None:
+        """Start, redirect or refuse by the outcome of an inquiry."""
+        inquiry = submission.inquiry
+        record = self.records.get(submission.key)
+        unknown = inquiry.outcome is inquiries.Outcome.unknown
+        if record is None and unknown:
+            self.start(submission)
+            return
+        for waiter in submission.waiters:
+            if record is not None:
+                self.attach(submission.key, record, waiter)
+            else:
+                self.turn_away(waiter, inquiry)
+
+    def turn_away(self, waiter: Waiter, inquiry: inquiries.Inquiry) -> None:
+        """Answer a request whose key does not start here."""
+        if inquiry.owner is not None:
+            self.redirect(waiter, inquiry.owner)
+        elif inquiry.outcome is inquiries.Outcome.indeterminate:
+            self.reply(waiter, _indeterminate())
+        else:
+            self.refuse(
+                waiter,
+                errors.Code.unavailable,
+                'an agent that ranks higher is not known to be gone',
+                retry_after=1,
+            )
+
+    def start(self, submission: Submission) -> None:
+        """Add the record of an unknown key and start its job."""
+        item, key = submission.item, submission.key
+        now = time.monotonic()
         try:
-            self.records.add(key, record, time.monotonic())
+            self.check_start(submission, now)
+            record = records.Record(ids.new_job(*key), item.digest)
+            self.records.add(key, record, now)
         except errors.PoplardrumError as error:
-            self.refuse(waiter, error.code, error.message, error.retry_after)
+            for refused in submission.waiters:
+                self.refuse(
+                    refused,
+                    error.code,
+                    error.message,
+                    error.retry_after,
+                )
             return
-        self.attach(key, record, waiter, wait=item.wait)
-        self.process.coordinator.start(record.job, item, age)
+        for waiter in submission.waiters:
+            self.attach(key, record, waiter)
+        self.process.coordinator.start(
+            record.job,
+            item,
+            submission.age + now - submission.began,
+        )
+
+    def check_start(self, submission: Submission, now: float) -> None:
+        """Raise a refusal when a job may not start any more."""
+        if self.process.stopping.is_set():
+            raise errors.refusal(errors.Code.stopping, 'agent is stopping')
+        waited = submission.age + now - submission.began
+        if waited * 1000 >= submission.item.deadline_ms:
+            raise errors.refusal(errors.Code.deadline, 'deadline has passed')
+        # Tombstones of other agents hold for a margin beyond the job's time.
+        if now - submission.began > ledger.HOLD_MARGIN / 2:
+            raise errors.refusal(
+                errors.Code.unavailable,
+                'the inquiry took too long',
+                retry_after=1,
+            )
 
     def attach(
         self,
         key: records.RecordKey,
         record: records.Record,
         waiter: Waiter,
-        *,
-        wait: bool,
     ) -> None:
         """Answer from a record, now or at the end of its job."""
         if record.answer is not None:
             self.reply(waiter, record.answer)
-        elif wait:
+        elif waiter.wait:
             self.waiters.setdefault(key, []).append(waiter)
         else:
             self.reply(waiter, _accepted(record.job))
@@ -91,10 +241,74 @@
         for waiter in self.waiters.pop(key, []):
             self.reply(waiter, answer)
 
+    def find(
+        self,
+        key: records.RecordKey,
+        waiter: Waiter,
+    ) -> records.Record | None:
+        """Return the record of a key, or answer where the key is."""
+        record = self.records.get(key)
+        if record is not None:
+            return record
+        owner = self.records.owner(key, time.monotonic())
+        if owner is not None:
+            self.redirect(waiter, owner)
+            return None
+        self.process.spawn(self.search(key, waiter), f'search {key[1]}')
+        return None
+
+    async def search(self, key: records.RecordKey, waiter: Waiter) -> None:
+        """Look for the owner of a key at the other agents."""
+        hold = self.ledger.hold(self.process.settings.limits.deadline)
+        inquiry = self.ledger.inquire(
+            key,
+            inquiries.Attempt(first=False, hold=hold, peek=True),
+            time.monotonic(),
+        )
+        await self.inquirer.run(key, inquiry)
+        if inquiry.owner is not None:
+            self.redirect(waiter, inquiry.owner)
+        elif inquiry.outcome is inquiries.Outcome.indeterminate:
+            self.reply(waiter, _indeterminate())
+        else:
+            self.refuse(waiter, errors.Code.unknown_job, 'unknown job')
+
+    def clean(self) -> bool:
+        """Tell whether all that this agent's place has started is known."""
+        hold = self.ledger.hold(self.process.settings.limits.deadline)
+        return self.stability.clean(time.monotonic(), hold)
+
+    def link_up(self, link: links.Link) -> None:
+        """Take a link of an entry that replaces an earlier one."""
+        if link.member.role is messages.Role.entry:
+            self.stability.entry_up(link.member.id, time.monotonic())
+
+    def link_down(self, link: links.Link) -> None:
+        """Note the loss of a link."""
+        self.inquirer.link_down(link)
+        if link.member.role is messages.Role.entry:
+            ended = link.member.state is messages.MemberState.gone
+            self.stability.entry_down(
+                link.member.id,
+                time.monotonic(),
+                ended=ended,
+            )
+
+    def observe(self, link: links.Link) -> None:
+        """Note up to when an entry has heard of this agent."""
+        if link.member.role is messages.Role.entry:
+            self.stability.heard(link.member.id, link.echo)
+
     def reply(self, waiter: Waiter, answer: messages.Answer) -> None:
         """Send an answer to the entry that waits for it."""
         waiter.link.send(messages.JobReply(waiter.request, answer))
 
+    def redirect(self, waiter: Waiter, owner: ids.MemberId) -> None:
+        """Send an entry to the agent that owns the key."""
+        waiter.link.send(
+            messages.JobReply(waiter.request, _indeterminate(), owner),
+        )
+
     def refuse(
         self,
         waiter: Waiter,
@@ -123,6 +337,15 @@
     )
 
 
+def _indeterminate() -> messages.Answer:
+    return messages.Answer(
+        ids.JobId(''),
+        errors.Code.indeterminate,
+        errors.Verdict.may_have_run,
+        'an agent that may have started this key cannot be asked',
+    )
+
+
 @dispatch.receive.register(messages.SubmitJob)
 def _submit(
     item: messages.SubmitJob,
@@ -140,12 +363,10 @@
 ) -> None:
     submissions = process.submissions
     key = (item.tenant, item.key)
-    waiter = Waiter(link, item.request)
-    record = submissions.records.get(key)
-    if record is None:
-        submissions.refuse(waiter, errors.Code.unknown_job, 'unknown job')
-        return
-    submissions.attach(key, record, waiter, wait=item.wait)
+    waiter = Waiter(link, item.request, item.wait)
+    record = submissions.find(key, waiter)
+    if record is not None:
+        submissions.attach(key, record, waiter)
 
 
 @dispatch.receive.register(messages.CancelJob)
@@ -157,9 +378,7 @@
     submissions = process.submissions
     key = (item.tenant, item.key)
     waiter = Waiter(link, item.request)
-    record = submissions.records.get(key)
-    if record is None:
-        submissions.refuse(waiter, errors.Code.unknown_job, 'unknown job')
-        return
-    submissions.attach(key, record, waiter, wait=True)
-    process.coordinator.cancel(record.job)
+    record = submissions.find(key, waiter)
+    if record is not None:
+        submissions.attach(key, record, waiter)
+        process.coordinator.cancel(record.job)
--- a/src/poplardrum/peers/links.py
+++ b/src/poplardrum/peers/links.py
@@ -18,6 +18,7 @@
 from poplardrum.peers import codec, dispatch, messages, outbox
 
 if typing.TYPE_CHECKING:
+    from poplardrum import settings
     from poplardrum.daemons import node
 
 logger = logging.getLogger(__name__)
@@ -26,6 +27,9 @@
 JOIN_ROUTE: typing.Final = '/poplardrum.Peer/Join'
 _BACKOFF_START: typing.Final = 0.05
 _BACKOFF_MAX: typing.Final = 1.0
+_OVERSLEPT: typing.Final = 1.0
+_LEAST_WAIT: typing.Final = 0.05
+_CLOSE_SECONDS: typing.Final = 1.0
 RPC_ERRORS: typing.Final = (
     exceptions.GRPCError,
     exceptions.ProtocolError,
@@ -63,13 +67,15 @@
         self.last_seen = time.monotonic()
         self.clock_base = float('inf')
         self.frame_age = 0.0
+        self.peer_sent = 0.0
+        self.echo = 0.0
         self.frames_sent = 0
         self.frames_received = 0
 
     @property
     def is_open(self) -> bool:
         """Tell whether items can still be written."""
-        return not self.outbox.closed
+        return not (self.outbox.closed or self.outbox.ending)
 
     def send(self, item: messages.AnyItem) -> bool:
         """Queue an item; return `False` when the link is closed."""
@@ -89,6 +95,8 @@
             self.load = frame.load
         self.clock_base = min(self.clock_base, now - frame.sent)
         self.frame_age = now - frame.sent - self.clock_base
+        self.peer_sent = frame.sent
+        self.echo = frame.echo
 
 
 class LocalLink(Link):
@@ -116,6 +124,7 @@
             await _run_dialed(process, member)
         except _CONNECTION_ERRORS as error:
             logger.debug('link to %s: %r', member.id, error)
+            process.dial_failed(member, error)
         if time.monotonic() - started > _BACKOFF_MAX:
             delay = _BACKOFF_START
         await asyncio.sleep(delay * process.random.uniform(0.5, 1))
@@ -140,11 +149,12 @@
             messages.Frame,
         )
         stream = await stack.enter_async_context(method.open())
+        revision = process.view.revision
         async with asyncio.timeout(process.settings.peers.silence):
             await stream.send_request()
             await stream.send_message(_hello(process))
             first = await stream.recv_message()
-        await _serve(process, stream, first, dialed=True)
+        await _serve(process, stream, first, revision, dialed=True)
         await stream.cancel()
 
 
@@ -160,6 +170,7 @@
     process: 'node.Node',
     stream: FrameStream,
     first: messages.Frame | None,
+    revision: int,
     *,
     dialed: bool,
 ) -> None:
@@ -169,6 +180,9 @@
     async with contextlib.AsyncExitStack() as stack:
         process.link_up(link)
         stack.callback(process.link_down, link)
+        if process.view.revision != revision:
+            # The view has changed since the introduction was written.
+            link.send(messages.View(process.known_members()))
         _receive(process, link, first)
         halves = (
             asyncio.ensure_future(_write(process, stream, link)),
@@ -193,15 +207,28 @@
     link: Link,
 ) -> None:
     limits = process.settings.peers
-    while link.is_open:
-        items = await link.outbox.take(limits.heartbeat)
-        if time.monotonic() - link.last_seen > limits.silence:
+    while not link.outbox.closed:
+        asked = time.monotonic()
+        items = await link.outbox.take(_interval(link, limits, asked))
+        overdue = time.monotonic() - asked - limits.heartbeat
+        if overdue > _OVERSLEPT:
+            # This process was held up itself: its reader comes first, since
+            # frames of the peer may wait unread.
+            await asyncio.sleep(0)
+        elif time.monotonic() - link.last_seen > limits.silence:
             logger.warning('peer %s is silent', link.member.id)
             return
         if items:
             link.frames_sent += 1
             async with asyncio.timeout(limits.silence):
-                await stream.send_message(process.frame(items))
+                await stream.send_message(process.frame(items, link.peer_sent))
+        elif link.outbox.ending:
+            return
+
+
+def _interval(link: Link, limits: 'settings.Peers', now: float) -> float:
+    left = link.last_seen + limits.silence - now
+    return min(limits.heartbeat, max(_LEAST_WAIT, left))
 
 
 async def _read(
@@ -209,7 +236,7 @@
     stream: FrameStream,
     link: Link,
 ) -> None:
-    while link.is_open:
+    while not link.outbox.closed:
         frame = await stream.recv_message()
         if frame is None:
             return
@@ -264,9 +291,10 @@
         silence = self.process.settings.peers.silence
         async with asyncio.timeout(silence):
             first = await stream.recv_message()
+            revision = self.process.view.revision
             await stream.send_message(_hello(self.process))
         with contextlib.suppress(*_CONNECTION_ERRORS):
-            await _serve(self.process, stream, first, dialed=False)
+            await _serve(self.process, stream, first, revision, dialed=False)
 
     async def join(self, stream: typing.Any) -> None:
         """Add the sender to the view and answer with all members."""
@@ -308,6 +336,18 @@
     stack.push_async_callback(_close, server)
 
 
+async def finish(process: 'node.Node') -> None:
+    """Write what is queued, then end all links of `process`."""
+    for link in process.all_links():
+        link.outbox.finish()
+    deadline = time.monotonic() + _CLOSE_SECONDS
+    while process.all_links() and time.monotonic() < deadline:
+        await asyncio.sleep(_LEAST_WAIT / 5)
+
+
 async def _close(server: grpc_server.Server) -> None:
+    # Closing waits for the connections, and a frozen peer never ends its own.
     server.close()
-    await server.wait_closed()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_CLOSE_SECONDS):
+            await server.wait_closed()
--- a/src/poplardrum/peers/messages.py
+++ b/src/poplardrum/peers/messages.py
@@ -124,8 +124,10 @@
 class SubmitJob(Item):
     """Ask a coordinator to run a job, or to attach to it.
 
-    `deadline_ms` is the time left when the frame was sent. `unreachable`
-    lists agents to which the entry has no live link.
+    `deadline_ms` is the time left when the frame was sent, `span_ms` the
+    whole time that the caller allowed, the same in every attempt.
+    `unreachable` lists the agents ranked above the receiver that cannot
+    believe that the entry still counts on them.
     """
 
     request: ids.RequestId
@@ -140,6 +142,7 @@
     wait: bool = True
     hints: list[Hint] = []
     unreachable: list[ids.MemberId] = []
+    span_ms: float = 0
 
 
 class FetchJob(Item):
@@ -249,12 +252,19 @@
 
 
 class AskRecord(Item):
-    """Ask an agent whether it may have started the job of a key."""
+    """Ask an agent whether it may have started the job of a key.
+
+    `hold` is the time in seconds for which any record of the key may matter:
+    the job's whole deadline and the resubmission window. `peek` asks without
+    wanting a tombstone.
+    """
 
     request: ids.RequestId
     tenant: ids.TenantName
     key: ids.IdempotencyKey
     asker: Member
+    hold: float = 0
+    peek: bool = False
 
 
 class RecordState(enum.Enum):
@@ -263,16 +273,23 @@
     owned = 'owned'
     tombstone = 'tombstone'
     elsewhere = 'elsewhere'
+    # The agent is stopping or full and can promise nothing.
+    unable = 'unable'
 
 
 class RecordReply(Item):
-    """Answer to `AskRecord`; `owner` is set for a redirect."""
+    """Answer to `AskRecord`; `owner` is set for a redirect.
+
+    `clean` says that no earlier incarnation of the agent can have held the
+    key without having handed it over.
+    """
 
     request: ids.RequestId
     state: RecordState
     incarnation: ids.Incarnation
     stable: bool
     owner: ids.MemberId | None = None
+    clean: bool = False
 
 
 class KeptRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -285,11 +302,21 @@
     expires_in: float
 
 
+class KeptTombstone(msgspec.Struct, array_like=True, frozen=True):
+    """One tombstone that moves to another agent at a planned stop."""
+
+    tenant: ids.TenantName
+    key: ids.IdempotencyKey
+    owner: ids.MemberId
+    expires_in: float
+
+
 class HandOver(Item):
-    """Carry kept records to the next agent in rank."""
+    """Carry kept records and tombstones to the next agent in rank."""
 
     request: ids.RequestId
     records: list[KeptRecord]
+    tombstones: list[KeptTombstone] = []
 
 
 class HandOverAck(Item):
@@ -330,13 +357,15 @@
     """Everything that one peer sends to another at one moment.
 
     `sent` is the sender's monotonic time in seconds, which lets the
-    receiver estimate how long the frame has waited.
+    receiver estimate how long the frame has waited. `echo` is the `sent` of
+    the latest frame that the sender had received on this link.
     """
 
     sent: float
     config: ids.ConfigNumber
     items: list[AnyItem]
     load: Load | None = None
+    echo: float = 0
 
 
 class JoinRequest(msgspec.Struct, frozen=True):
--- a/src/poplardrum/peers/outbox.py
+++ b/src/poplardrum/peers/outbox.py
@@ -13,15 +13,21 @@
         self.items: list[messages.AnyItem] = []
         self.wakeup = asyncio.Event()
         self.closed = False
+        self.ending = False
 
     def put(self, item: messages.AnyItem) -> bool:
         """Add an item; return `False` when the link is closed."""
-        if self.closed:
+        if self.closed or self.ending:
             return False
         self.items.append(item)
         self.wakeup.set()
         return True
 
+    def finish(self) -> None:
+        """Take no more items; those queued are still written."""
+        self.ending = True
+        self.wakeup.set()
+
     def close(self) -> list[messages.AnyItem]:
         """Close and return the items that were never written."""
         self.closed = True
@@ -31,7 +37,7 @@
 
     async def take(self, interval: float) -> list[messages.AnyItem]:
         """Wait for items, or return a heartbeat after `interval` seconds."""
-        if not self.items and not self.closed:
+        if not (self.items or self.closed or self.ending):
             try:
                 await asyncio.wait_for(self.wakeup.wait(), interval)
             except TimeoutError:
--- a/src/poplardrum/standins/fleet.py
+++ b/src/poplardrum/standins/fleet.py
@@ -81,6 +81,14 @@
             self.send(signal.SIGTERM)
         return self.wait()
 
+    def pause(self) -> None:
+        """Stop the process from running until it is resumed."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process run again."""
+        self.send(signal.SIGCONT)
+
     def kill(self) -> None:
         """Kill at once and wait for the end."""
         self.send(signal.SIGKILL)
@@ -275,6 +283,28 @@
         }
         return len(numbers) == 1 and 0 not in numbers
 
+    def row(self, member: str, entry: int = 0) -> dict[str, typing.Any]:
+        """Return what an entry says of one member."""
+        for row in self.status(entry)['members']:
+            if row['id'] == member:
+                return typing.cast(dict[str, typing.Any], row)
+        return {'id': member, 'state': 'unknown', 'linked': False, 'slots': 0}
+
+    def call_platform(
+        self,
+        method: str,
+        path: str,
+        body: typing.Any = None,
+    ) -> tuple[int, typing.Any]:
+        """Call the platform stand-in."""
+        return http.call(method, f'http://{self.platform_address}{path}', body)
+
+    def starts_at(self, index: int) -> int:
+        """Return how many starts one endpoint has counted."""
+        address = self.endpoint_addresses[index]
+        _, reply = http.call('GET', f'http://{address}/starts')
+        return sum(reply['starts'].values())
+
     def starts(self) -> dict[str, int]:
         """Return how often each task was started, over all endpoints."""
         total: dict[str, int] = {}
--- a/src/poplardrum/standins/platform.py
+++ b/src/poplardrum/standins/platform.py
@@ -71,8 +71,14 @@
                 web.put('/restore', self.restore),
             ]
         )
+        app.on_shutdown.append(self.end_watches)
         return app
 
+    async def end_watches(self, app: web.Application) -> None:
+        """Let waiting reads return, since the server waits for them."""
+        self.outage = True
+        await self.notify()
+
     @web.middleware
     async def switches(
         self,
--- /dev/null
+++ b/tests/test_submission_machine.py
@@ -0,0 +1,194 @@
+"""Submissions under arbitrary order, loss, doubling, delay and crashes."""
+
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from poplardrum import ids
+from tests import submission_model
+
+AGENTS: typing.Final = 4
+ENTRIES: typing.Final = 2
+KEYS: typing.Final = 2
+AGENT: typing.Final = st.integers(0, AGENTS - 1).map(
+    lambda number: ids.MemberId(f'a{number}'),
+)
+ENTRY: typing.Final = st.integers(0, ENTRIES - 1).map(
+    lambda number: ids.MemberId(f'e{number}'),
+)
+NODE: typing.Final = st.one_of(AGENT, ENTRY)
+KEY: typing.Final = st.integers(0, KEYS - 1)
+INDEX: typing.Final = st.integers(0, 50)
+TIMES: typing.Final = st.sampled_from((0.5, 1.0, 4.0, 6.0, 60.0, 200.0, 370.0))
+
+
+class SubmissionMachine(stateful.RuleBasedStateMachine):
+    """Guards against a second start of any key and an untrue `not_run`."""
+
+    def __init__(self) -> None:
+        """Start all processes; let them get old enough to be stable."""
+        super().__init__()
+        self.world = submission_model.World(AGENTS, ENTRIES, KEYS)
+        self.world.advance(400)
+
+    @stateful.rule(key=KEY, entry=ENTRY)
+    def submit(self, key: int, entry: ids.MemberId) -> None:
+        """A caller submits or resubmits."""
+        self.world.submit(self.world.keys[key], entry)
+
+    @stateful.rule(key=KEY, entry=ENTRY)
+    def complete(self, key: int, entry: ids.MemberId) -> None:
+        """A caller submits, and all that can be asked answers."""
+        self.world.submit(self.world.keys[key], entry)
+        for _ in range(4):
+            self.world.deliver_all()
+            for agent in self.world.names:
+                self.time_out(agent)
+
+    @stateful.rule(index=INDEX, double=st.booleans())
+    def deliver_attempt(self, index: int, double: bool) -> None:
+        """An agent reads one attempt, perhaps twice, from any link."""
+        links = self.world.links_with_attempts()
+        if links:
+            link = links[index % len(links)]
+            if double:
+                link.queue.appendleft(link.queue[0])
+            self.world.deliver_attempt(link)
+
+    @stateful.rule(index=INDEX, double=st.booleans())
+    def deliver(self, index: int, double: bool) -> None:
+        """An agent reads one message, perhaps twice, of another agent."""
+        queues = [pair for pair, items in self.world.queues.items() if items]
+        if queues:
+            pair = queues[index % len(queues)]
+            if double:
+                queue = self.world.queues[pair]
+                queue.appendleft(queue[0])
+            self.world.deliver(*pair)
+
+    @stateful.rule()
+    def settle(self) -> None:
+        """All messages between agents arrive."""
+        self.world.deliver_all()
+
+    @stateful.rule(one=AGENT, other=AGENT)
+    def cut(self, one: ids.MemberId, other: ids.MemberId) -> None:
+        """The connection of two agents breaks with all that is on it."""
+        self.world.queues[(one, other)].clear()
+        self.world.queues[(other, one)].clear()
+
+    @stateful.rule(agent=AGENT)
+    def time_out(self, agent: ids.MemberId) -> None:
+        """An agent gives up its questions."""
+        asker = self.world.agents.get(agent)
+        if asker is not None and not asker.frozen:
+            for number in list(asker.asks):
+                if number in asker.asks:
+                    asker.lose(number)
+
+    @stateful.rule(entry=ENTRY, agent=AGENT)
+    def reset(self, entry: ids.MemberId, agent: ids.MemberId) -> None:
+        """A link breaks at the entry."""
+        self.world.reset(entry, agent)
+
+    @stateful.rule(index=INDEX)
+    def notice(self, index: int) -> None:
+        """An agent notices a broken link."""
+        if self.world.old_links:
+            self.world.notice(index % len(self.world.old_links))
+
+    @stateful.rule(entry=ENTRY, agent=AGENT)
+    def connect(self, entry: ids.MemberId, agent: ids.MemberId) -> None:
+        """An entry dials an agent."""
+        self.world.connect(entry, agent)
+
+    @stateful.rule()
+    def connect_all(self) -> None:
+        """All links come back that can."""
+        for entry in self.world.entries:
+            for agent in self.world.names:
+                self.world.connect(entry, agent)
+
+    @stateful.rule(one=NODE, other=NODE)
+    def block(self, one: ids.MemberId, other: ids.MemberId) -> None:
+        """The network cuts two processes off, or joins them again."""
+        self.world.blocked ^= {frozenset((one, other))}
+
+    @stateful.rule()
+    def heal(self) -> None:
+        """The network joins all processes again."""
+        self.world.blocked.clear()
+
+    @stateful.rule(agent=AGENT)
+    def pause(self, agent: ids.MemberId) -> None:
+        """An agent is paused, or resumes."""
+        paused = self.world.agents.get(agent)
+        if paused is not None:
+            paused.frozen = not paused.frozen
+
+    @stateful.rule(agent=AGENT, restart=st.booleans())
+    def kill(self, agent: ids.MemberId, restart: bool) -> None:
+        """An agent crashes and may be started again."""
+        self.world.kill(agent)
+        if restart:
+            self.world.start_agent(agent, clean=agent in self.world.gone)
+
+    @stateful.rule(agent=AGENT)
+    def start(self, agent: ids.MemberId) -> None:
+        """An agent that has ended starts again."""
+        if agent not in self.world.agents:
+            self.world.start_agent(agent, clean=agent in self.world.gone)
+
+    @stateful.rule(agent=AGENT, restart=st.booleans())
+    def stop(self, agent: ids.MemberId, restart: bool) -> None:
+        """An agent stops as planned and may be started again."""
+        if agent in self.world.agents and self.world.stop(agent) and restart:
+            self.world.start_agent(agent, clean=True)
+
+    @stateful.rule(agent=AGENT, leaving=st.booleans())
+    def leave(self, agent: ids.MemberId, leaving: bool) -> None:
+        """An operator lets an agent leave or return."""
+        if agent in self.world.agents:
+            self.world.set_leaving(agent, leaving=leaving)
+
+    @stateful.rule(entry=ENTRY)
+    def restart_entry(self, entry: ids.MemberId) -> None:
+        """An entry crashes and starts again."""
+        for agent in self.world.names:
+            self.world.reset(entry, agent)
+        self.world.start_entry(entry)
+
+    @stateful.rule(agent=AGENT, key=KEY)
+    def finish(self, agent: ids.MemberId, key: int) -> None:
+        """A job ends."""
+        if agent in self.world.agents:
+            self.world.finish(agent, self.world.keys[key])
+
+    @stateful.rule(seconds=TIMES)
+    def advance(self, seconds: float) -> None:
+        """Time passes."""
+        self.world.advance(seconds)
+
+    @stateful.invariant()
+    def starts_at_most_once(self) -> None:
+        """Check the starts of every key."""
+        assert all(count <= 1 for count in self.world.starts.values())
+
+    @stateful.invariant()
+    def refusals_are_true(self) -> None:
+        """Check the verdict `not_run`."""
+        assert not self.world.untrue
+
+
+SubmissionMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=100,
+    stateful_step_count=60,
+    suppress_health_check=list(hypothesis.HealthCheck),
+)
+SubmissionMachineTest: type[unittest.TestCase] = SubmissionMachine.TestCase
