Test crashes, pauses and planned restarts with processes

Cause: the model cannot show faults of links, processes and their shutdown.

Change: tests start a fleet and kill, pause, stop and restart its processes while jobs run; starts are counted at the endpoints. A random walk over the model is part of the suite, since the state machine's search reaches long histories rarely.

--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,182 @@
+"""Membership: joining, leaving, loss and rolling restarts of processes."""
+
+import threading
+import time
+import typing
+
+from poplardrum.standins import fleet, http
+from tests import submission_fleet
+
+
+class MembershipTest(submission_fleet.FleetCase):
+    """Guards against members that are unknown, or taken for dead or live."""
+
+    def state(self, agent: int, entry: int) -> str:
+        """Return the state of an agent at an entry."""
+        return str(self.fleet.row(f'agent-{agent}', entry)['state'])
+
+    def wait_state(self, agent: int, state: str) -> float:
+        """Return the time until both entries know a state, in seconds."""
+        started = time.monotonic()
+        fleet.wait_until(
+            lambda: all(self.state(agent, entry) == state for entry in (0, 1)),
+            f'agent {agent} is {state}',
+        )
+        return time.monotonic() - started
+
+    def test_dead_agent(self) -> None:
+        """Guards against waiting for silence when a connection breaks."""
+        self.fleet.agents[0].kill()
+        self.wait_unlinked(0)
+        self.assertNotIn('is silent', self.entry_logs())
+
+    def test_slow_agent(self) -> None:
+        """Guards against taking a slow agent for dead."""
+        ups = self.entry_logs().count('link to agent-1 is up')
+        self.fleet.agents[1].pause()
+        self.addCleanup(self.fleet.agents[1].resume)
+        time.sleep(2.5)
+        self.fleet.agents[1].resume()
+        self.submit(self.key_of(1, 'slow'))
+        self.assertEqual(
+            self.entry_logs().count('link to agent-1 is up'),
+            ups,
+        )
+
+    def test_leaving_endpoint(self) -> None:
+        """Guards against new work to a leaving endpoint."""
+        address = self.fleet.endpoint_addresses[2]
+        http.call('PUT', f'http://{address}/switch', {'state': 'leaving'})
+        self.wait_state(2, 'leaving')
+        before = self.fleet.starts_at(2)
+        for number in range(10):
+            self.assertEqual(self.submit(f'left-{number}')[0], 200)
+        self.assertEqual(self.fleet.starts_at(2), before)
+        http.call('PUT', f'http://{address}/switch', {'state': 'ready'})
+        self.wait_state(2, 'ready')
+
+    def test_leaving_by_rule(self) -> None:
+        """Guards against an operator's rule that has no effect."""
+        rule = '[worker agent-2]\nstate = {0}\n'
+        self.fleet.apply({'50-leave.ini': rule.format('leaving')})
+        self.wait_state(2, 'leaving')
+        before = self.fleet.starts_at(2)
+        for number in range(10):
+            self.assertEqual(self.submit(f'ruled-{number}')[0], 200)
+        self.assertEqual(self.fleet.starts_at(2), before)
+        self.fleet.apply({'50-leave.ini': rule.format('ready')}, entry=1)
+        self.wait_state(2, 'ready')
+
+    def test_joins_in_outage(self) -> None:
+        """Guards against a process that needs the platform to join."""
+        self.fleet.agents[0].stop()
+        self.fleet.entries[0].stop()
+        self.fleet.call_platform('PUT', '/switch', {'outage': True})
+        self.fleet.agents[0].start()
+        self.fleet.entries[0].start()
+        fleet.wait_until(
+            lambda: self.fleet.linked() == len(self.fleet.agents),
+            'all agents are linked',
+        )
+        fleet.wait_until(self.fleet.ready, 'all have the rules')
+        key = self.key_of(0, 'outage')
+        self.assertEqual(self.submit(key)[0], 200)
+
+    def entry_logs(self) -> str:
+        """Return the logs of the entries."""
+        return '\n'.join(
+            entry.log.read_text(encoding='utf-8')
+            for entry in self.fleet.entries
+        )
+
+
+class RemovalTest(submission_fleet.FleetCase):
+    """Guards against registrations of dead agents that stay for ever."""
+
+    plan = fleet.Plan(
+        (fleet.WorkerPlan(), fleet.WorkerPlan()),
+        settings={'limits': 'window = 1 s\ndeadline = 1 s\n'},
+    )
+
+    def registered(self, name: str) -> bool:
+        """Tell whether the platform has a registration."""
+        path = f'/v1/kv/poplardrum/members/{name}'
+        return self.fleet.call_platform('GET', path)[0] == 200
+
+    def test_removed_after_window(self) -> None:
+        """Guards against a dead agent that makes resubmissions doubtful."""
+        self.assertTrue(self.registered('agent-0'))
+        self.fleet.agents[0].kill()
+        fleet.wait_until(lambda: not self.registered('agent-0'), 'removal')
+        self.assertTrue(self.registered('agent-1'))
+        self.heal()
+        fleet.wait_until(lambda: self.registered('agent-0'), 'return')
+
+
+class Load:
+    """Callers that submit jobs without pause, as through a balancer."""
+
+    def __init__(self, case: submission_fleet.FleetCase) -> None:
+        """Prepare to call the entries of a fleet."""
+        self.case = case
+        self.ended = threading.Event()
+        self.replies: list[submission_fleet.Reply] = []
+        self.keys: list[str] = []
+
+    def run(self, caller: int) -> None:
+        """Submit until ended, each key until it is not refused."""
+        number = 0
+        while not self.ended.is_set():
+            number += 1
+            key = f'rolling-{caller}-{number}'
+            self.keys.append(key)
+            self.replies.append(self.submit(key, caller))
+
+    def submit(self, key: str, caller: int) -> submission_fleet.Reply:
+        """Submit through the entries that are ready."""
+        entry = caller % 2
+        while True:
+            entry = 1 - entry
+            if self.is_ready(entry):
+                status, reply = self.attempt(key, entry)
+                if reply['code'] not in {'refused', 'stopping'}:
+                    return status, reply
+
+    def attempt(self, key: str, entry: int) -> submission_fleet.Reply:
+        """Submit once; a broken connection counts as a bad reply."""
+        try:
+            return self.case.submit(key, 0.02, entry)
+        except OSError as error:
+            refused = 'Connection refused' in str(error)
+            return 0, {'code': 'refused' if refused else repr(error)}
+
+    def is_ready(self, entry: int) -> bool:
+        """Ask the readiness probe, as a balancer does."""
+        address = self.case.fleet.entry_addresses[entry]
+        try:
+            status, _ = http.call('GET', f'http://{address}/readyz')
+        except OSError:
+            return False
+        return status == 200
+
+
+class RollingRestartTest(submission_fleet.FleetCase):
+    """Guards against requests that a planned restart fails or cuts."""
+
+    def test_rolling_restart(self) -> None:
+        """Restart every process, one by one, under load."""
+        load = Load(self)
+        callers = [self.pool.submit(load.run, caller) for caller in range(4)]
+        codes: list[int] = []
+        for process in (*self.fleet.agents, *self.fleet.entries):
+            codes.append(process.stop())
+            self.heal()
+        load.ended.set()
+        for caller in callers:
+            caller.result()
+        self.assertEqual(codes, [0] * len(codes))
+        bad = [reply for reply in load.replies if reply[0] != 200]
+        self.assertEqual(bad, [], f'of {len(load.replies)}')
+        starts: typing.Final = self.fleet.starts()
+        self.assertEqual(set(starts.values()), {1})
+        self.assertEqual(len(starts), 2 * len(load.replies))
--- a/tests/test_submission_machine.py
+++ b/tests/test_submission_machine.py
@@ -1,5 +1,6 @@
 """Submissions under arbitrary order, loss, doubling, delay and crashes."""
 
+import random
 import typing
 import unittest
 
@@ -24,6 +25,33 @@
 INDEX: typing.Final = st.integers(0, 50)
 TIMES: typing.Final = st.sampled_from((0.5, 1.0, 4.0, 6.0, 60.0, 200.0, 370.0))
 
+WALKS: typing.Final = 2000
+WALK_STEPS: typing.Final = 70
+# Steps of a random walk: their weights and their arguments.
+STEPS: typing.Final[dict[str, tuple[int, str]]] = {
+    'submit': (4, 'key entry'),
+    'complete': (8, 'key entry'),
+    'deliver_attempt': (6, 'index double'),
+    'deliver': (6, 'index double'),
+    'settle': (2, ''),
+    'cut': (1, 'one other'),
+    'time_out': (1, 'agent'),
+    'reset': (2, 'entry agent'),
+    'notice': (2, 'index'),
+    'connect': (2, 'entry agent'),
+    'connect_all': (3, ''),
+    'block': (2, 'one other'),
+    'heal': (2, ''),
+    'pause': (3, 'agent'),
+    'kill': (2, 'agent restart'),
+    'start': (3, 'agent'),
+    'stop': (2, 'agent restart'),
+    'leave': (1, 'agent leaving'),
+    'restart_entry': (1, 'entry'),
+    'finish': (2, 'agent key'),
+    'advance': (4, 'seconds'),
+}
+
 
 class SubmissionMachine(stateful.RuleBasedStateMachine):
     """Guards against a second start of any key and an untrue `not_run`."""
@@ -192,3 +220,44 @@
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 SubmissionMachineTest: type[unittest.TestCase] = SubmissionMachine.TestCase
+
+
+class RandomWalkTest(unittest.TestCase):
+    """Guards against second starts that need long chains of events.
+
+    Walks are drawn evenly over long histories, which the search of the state
+    machine, made to find short ones, reaches rarely.
+    """
+
+    def test_walks(self) -> None:
+        """Check both invariants after every step of many walks."""
+        starts = 0
+        for seed in range(WALKS):
+            machine = SubmissionMachine()
+            draw = random.Random(seed)
+            for _ in range(WALK_STEPS):
+                take_step(machine, draw)
+                machine.starts_at_most_once()
+                machine.refusals_are_true()
+            starts += sum(machine.world.starts.values())
+        self.assertGreater(starts, WALKS)
+
+
+def take_step(machine: SubmissionMachine, draw: random.Random) -> None:
+    """Take one step of a walk."""
+    agents, entries = machine.world.names, list(machine.world.entries)
+    values: dict[str, typing.Any] = {
+        'agent': draw.choice(agents),
+        'entry': draw.choice(entries),
+        'one': draw.choice(agents + entries),
+        'other': draw.choice(agents),
+        'key': draw.randrange(KEYS),
+        'index': draw.randrange(50),
+        'seconds': draw.choice((0.5, 1.0, 4.0, 6.0, 6.0, 60.0, 200.0, 370.0)),
+        'double': draw.randrange(10) < 3,
+        'restart': draw.randrange(10) < 3,
+        'leaving': draw.randrange(10) < 3,
+    }
+    step = draw.choices(list(STEPS), [weight for weight, _ in STEPS.values()])
+    names = STEPS[step[0]][1].split()
+    getattr(machine, step[0])(**{name: values[name] for name in names})
