--- /dev/null
+++ b/tests/test_records_ledger.py
@@ -0,0 +1,78 @@
+"""Ties, tombstones and closed ledgers between two agents."""
+
+import typing
+import unittest
+
+from poplardrum import ids
+from poplardrum.coordination import inquiries, records, views
+from poplardrum.peers import messages
+from tests import submission_model
+
+KEY: typing.Final = (ids.TenantName('lakeshore'), ids.IdempotencyKey('k'))
+ATTEMPT: typing.Final = inquiries.Attempt(first=False, hold=360)
+State = messages.RecordState
+
+
+class LedgerTest(unittest.TestCase):
+    """Guards against two owners of a key, and against none."""
+
+    def setUp(self) -> None:
+        """Start two agents; `high` ranks first for the key."""
+        world = submission_model.World(2, 1, 1)
+        agents = list(world.agents.values())
+        agents.sort(key=lambda agent: views.score(*KEY, agent.name))
+        self.low, self.high = agents
+
+    def ask(
+        self,
+        asker: submission_model.Agent,
+        asked: submission_model.Agent,
+        *,
+        peek: bool = False,
+    ) -> messages.RecordReply:
+        """Let one agent ask the other."""
+        own = asker.view.own
+        ask = messages.AskRecord(ids.RequestId(1), *KEY, own, 360, peek)
+        return asked.ledger.asked(ask, 1)
+
+    def test_tie(self) -> None:
+        """Guards against agents that ask each other and both go on."""
+        lower = self.low.ledger.inquire(KEY, ATTEMPT, 0)
+        higher = self.high.ledger.inquire(KEY, ATTEMPT, 0)
+        self.assertEqual(lower.next_batch(), [self.high.name])
+        self.assertEqual(higher.next_batch(), [self.low.name])
+        to_low = self.ask(self.low, self.high)
+        to_high = self.ask(self.high, self.low)
+        lower.replied(self.high.name, to_low)
+        higher.replied(self.low.name, to_high)
+        self.assertIs(to_low.state, State.owned)
+        self.assertIs(to_high.state, State.tombstone)
+        self.assertIs(lower.outcome, inquiries.Outcome.redirect)
+        self.assertIs(higher.outcome, inquiries.Outcome.unknown)
+
+    def test_known_key(self) -> None:
+        """Guards against a tombstone for a key that was started."""
+        record = records.Record(ids.JobId('j'), b'')
+        self.low.records.add(KEY, record, 0)
+        reply = self.ask(self.high, self.low)
+        self.assertIs(reply.state, State.owned)
+
+    def test_tombstone(self) -> None:
+        """Guards against a promise to two agents."""
+        self.assertIs(self.ask(self.high, self.low).state, State.tombstone)
+        self.assertEqual(self.low.records.owner(KEY, 2), self.high.name)
+        again = self.ask(self.low, self.low)
+        self.assertIs(again.state, State.elsewhere)
+        self.assertEqual(again.owner, self.high.name)
+
+    def test_peek(self) -> None:
+        """Guards against a fetch that keeps a key from starting."""
+        reply = self.ask(self.high, self.low, peek=True)
+        self.assertIs(reply.state, State.tombstone)
+        self.assertIsNone(self.low.records.owner(KEY, 2))
+
+    def test_closed(self) -> None:
+        """Guards against a promise that the hand-over does not carry."""
+        self.low.ledger.closed = True
+        self.assertIs(self.ask(self.high, self.low).state, State.unable)
+        self.assertEqual(self.low.records.tombstones, {})
