Rank the agents of a key once for each forwarding round

Cause: choosing the coordinator and listing the agents it passed over each hashed all agents' ids.

Change: one ranking serves both. A test covers an agent that resumes after its removal.

--- a/src/poplardrum/daemons/forwarding.py
+++ b/src/poplardrum/daemons/forwarding.py
@@ -57,6 +57,7 @@
         self.began = time.monotonic()
         self.deadline = self.began + timeout
         self.first = getattr(item, 'first', False)
+        self.order: list[messages.Member] = []
         self.redirects = 0
         self.target: ids.MemberId | None = None
         self.grace: float | None = None
@@ -80,9 +81,11 @@
 
     def choose(self) -> links.Link | None:
         """Return the link to the owner, or to the first agent in rank."""
+        # Ranking hashes every agent's id, so it is done once for each round.
+        self.order = self.router.ranked(self.item, self.region)
         if self.target is not None:
             return self.process.link_to(self.target)
-        for member in self.router.ranked(self.item, self.region):
+        for member in self.order:
             link = self.process.link_to(member.id)
             if link and link.member.state is messages.MemberState.ready:
                 return link
@@ -109,7 +112,7 @@
     ) -> list[ids.MemberId]:
         """Return the agents ranked above `target` that may be passed over."""
         found: list[ids.MemberId] = []
-        for member in self.router.ranked(self.item, self.region):
+        for member in self.order:
             if member.id == target:
                 break
             if self.process.contacts.passable(member, now):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -112,6 +112,17 @@
         self.heal()
         fleet.wait_until(lambda: self.registered('agent-0'), 'return')
 
+    def test_returns_after_removal(self) -> None:
+        """Guards against a live agent that stays taken for gone."""
+        self.fleet.agents[1].pause()
+        self.addCleanup(self.fleet.agents[1].resume)
+        fleet.wait_until(lambda: not self.registered('agent-1'), 'removal')
+        self.fleet.agents[1].resume()
+        self.heal()
+        key = self.key_of(1, 'returned')
+        self.assertEqual(self.submit(key)[0], 200)
+        self.assertEqual(self.fleet.row('agent-1')['state'], 'ready')
+
 
 class Load:
     """Callers that submit jobs without pause, as through a balancer."""
