Test single rules against a second start by fixed histories

Change: one short history for each of these rules, and unit tests of the hand-over of tombstones and of its batches.

--- /dev/null
+++ b/tests/test_submission_scenarios.py
@@ -0,0 +1,111 @@
+"""Histories of the model in which one rule alone prevents a second start."""
+
+import typing
+import unittest
+
+from poplardrum import errors, ids
+from poplardrum.coordination import records, views
+from poplardrum.daemons import handover
+from poplardrum.peers import messages
+from tests import submission_model
+
+E0: typing.Final = ids.MemberId('e0')
+E1: typing.Final = ids.MemberId('e1')
+
+
+class ScenarioTest(unittest.TestCase):
+    """Guards against second starts that random histories reach rarely."""
+
+    def setUp(self) -> None:
+        """Start four stable agents; name them by their rank for one key."""
+        self.world = submission_model.World(4, 2, 1)
+        self.world.advance(400)
+        self.key = self.world.keys[0]
+        agents = [agent.view.own for agent in self.world.agents.values()]
+        ranked = views.rank(*self.key, agents)
+        self.ranked = [member.id for member in ranked]
+        self.top, self.second = self.ranked[:2]
+
+    def complete(self, entry: ids.MemberId) -> None:
+        """Submit through an entry; unanswered questions time out."""
+        self.world.submit(self.key, entry)
+        for _ in range(4):
+            self.world.deliver_all()
+            for agent in self.world.agents.values():
+                for number in list(agent.asks):
+                    agent.lose(number)
+
+    def cut_top(self) -> None:
+        """Cut the top agent off from the second and, unnoticed, from e0."""
+        self.world.blocked |= {frozenset((self.top, self.second))}
+        self.world.blocked |= {frozenset((self.top, E0))}
+        self.world.reset(E0, self.top)
+
+    def test_break_at_one_end(self) -> None:
+        """Guards against passing over an agent that still counts itself in."""
+        self.cut_top()
+        self.complete(E0)
+        self.assertEqual(self.world.starts[self.key], 0)
+        self.complete(E1)
+        self.assertEqual(self.world.starts[self.key], 1)
+
+    def test_passed_over_unnoticed(self) -> None:
+        """Guards against an agent that was passed over and does not know."""
+        self.cut_top()
+        self.world.advance(6)
+        self.complete(E0)
+        self.assertEqual(self.world.starts[self.key], 1)
+        self.complete(E1)
+        self.assertEqual(self.world.starts[self.key], 1)
+
+    def test_return_from_leaving(self) -> None:
+        """Guards against trust in an agent that a hand-over passed by."""
+        self.complete(E0)
+        self.world.finish(self.top, self.key)
+        self.world.set_leaving(self.second, leaving=True)
+        self.assertTrue(self.world.stop(self.top))
+        self.world.set_leaving(self.second, leaving=False)
+        self.world.start_agent(self.top, clean=True)
+        self.world.connect(E0, self.top)
+        self.complete(E0)
+        self.assertEqual(self.world.starts[self.key], 1)
+
+    def test_top_agent_is_back(self) -> None:
+        """Guards against a start by a new agent that ranks first."""
+        self.assertTrue(self.world.stop(self.top))
+        self.complete(E0)
+        self.world.start_agent(self.top, clean=True)
+        self.world.connect(E1, self.top)
+        self.complete(E1)
+        self.assertEqual(self.world.starts[self.key], 1)
+        self.world.advance(200)
+        self.complete(E1)
+        self.assertEqual(self.world.starts[self.key], 1)
+
+    def test_hand_over(self) -> None:
+        """Guards against promises and answers that a stop forgets."""
+        agent = self.world.agents[self.top]
+        answer = messages.Answer(
+            ids.JobId('j'),
+            errors.Code.ok,
+            errors.Verdict.ran,
+        )
+        agent.records.add(self.key, records.Record(answer.job, b'd'), 400)
+        agent.records.finish(self.key, answer, 400)
+        buried = (self.key[0], ids.IdempotencyKey('buried'))
+        owner = ids.MemberId('elsewhere')
+        agent.records.bury(buried, owner, 800, 400)
+        self.assertTrue(self.world.stop(self.top))
+        others = list(self.world.agents.values())
+        taken = self.world.agents[self.second].records.get(self.key)
+        self.assertEqual(taken and taken.answer, answer)
+        self.assertEqual(
+            [other.records.owner(buried, 799) for other in others].count(owner),
+            1,
+        )
+
+    def test_batches(self) -> None:
+        """Guards against messages that hold up a link for long."""
+        item = messages.KeptTombstone(*self.key, ids.MemberId('a'), 1)
+        sizes = [len(batch) for batch in handover.batches([item] * 1200)]
+        self.assertEqual(sizes, [500, 500, 200])
