--- /dev/null
+++ b/tests/submission_stops.py
@@ -0,0 +1,118 @@
+"""Planned stops and leaving agents of the model."""
+
+import types
+import typing
+
+import msgspec
+
+from poplardrum import ids
+from poplardrum.daemons import handover
+from poplardrum.peers import messages
+from tests import submission_model
+
+if typing.TYPE_CHECKING:
+    from tests import submission_world
+
+
+def stop(world: 'submission_world.World', name: ids.MemberId) -> bool:
+    """Stop an agent as planned; `False` if it cannot hand over."""
+    agent = world.agents[name]
+    running = [
+        key
+        for key, record in agent.records.by_key.items()
+        if record.answer is None
+    ]
+    if agent.frozen or agent.open or running:
+        return False
+    process = types.SimpleNamespace(
+        member=agent.view.own,
+        submissions=agent,
+        ready_members=lambda: [
+            other
+            for other in agent.view.agents('region')
+            if other.state is messages.MemberState.ready
+        ],
+    )
+    if not agent.stability.clean(
+        world.now, agent.ledger.hold(submission_model.DEADLINE)
+    ):
+        world.kill(name)
+        return False
+    shares = handover.collect(typing.cast(typing.Any, process), world.now)
+    agent.ledger.closed = True
+    for target, kept in shares.items():
+        other = world.agents.get(target)
+        cut = world.is_blocked(name, target)
+        if other is None or other.frozen or cut or other.ledger.closed:
+            world.kill(name)
+            return False
+        take(world, other, kept)
+    depart(world, agent)
+    return True
+
+
+def take(
+    world: 'submission_world.World',
+    other: submission_model.Agent,
+    kept: list[handover.Kept],
+) -> None:
+    """Hand kept items to another agent."""
+    process = types.SimpleNamespace(
+        member=other.view.own,
+        submissions=other,
+    )
+    for item in kept:
+        if isinstance(item, messages.KeptRecord):
+            handover.take_record(other.records, item, world.now)
+        else:
+            handover.take_tombstone(
+                typing.cast(typing.Any, process),
+                item,
+                world.now,
+            )
+
+
+def depart(
+    world: 'submission_world.World', agent: submission_model.Agent
+) -> None:
+    """Tell the reachable processes that an agent has ended."""
+    own = msgspec.structs.replace(
+        agent.view.own,
+        state=messages.MemberState.gone,
+        version=agent.view.own.version + 1,
+    )
+    world.gone.add(agent.name)
+    world.registered.pop(agent.name, None)
+    for entry_name, entry in world.entries.items():
+        link = entry.links.get(agent.name)
+        linked = link is not None and link.agent is agent
+        if linked and not world.is_blocked(entry_name, agent.name):
+            entry.view.merge([own])
+    for other in world.agents.values():
+        cut = world.is_blocked(agent.name, other.name)
+        if not cut and not other.frozen:
+            other.view.merge([own])
+    world.kill(agent.name)
+
+
+def set_leaving(
+    world: 'submission_world.World', name: ids.MemberId, *, leaving: bool
+) -> None:
+    """Let an agent leave or return by an operator's rule."""
+    agent = world.agents[name]
+    state = messages.MemberState.ready
+    if leaving:
+        state = messages.MemberState.leaving
+    if agent.frozen or state is agent.view.own.state:
+        return
+    if not leaving:
+        agent.stability.passed_over(world.now)
+    own = msgspec.structs.replace(
+        agent.view.own,
+        state=state,
+        version=agent.view.own.version + 1,
+    )
+    agent.view.replace_own(own)
+    for other in world.processes():
+        if not world.is_blocked(name, other.view.own.id):
+            other.view.merge([own])
--- a/tests/test_records_ledger.py
+++ b/tests/test_records_ledger.py
@@ -6,7 +6,7 @@
 from poplardrum import ids
 from poplardrum.coordination import inquiries, records, views
 from poplardrum.peers import messages
-from tests import submission_model
+from tests import submission_model, submission_world
 
 KEY: typing.Final = (ids.TenantName('lakeshore'), ids.IdempotencyKey('k'))
 ATTEMPT: typing.Final = inquiries.Attempt(first=False, hold=360)
@@ -18,7 +18,7 @@
 
     def setUp(self) -> None:
         """Start two agents; `high` ranks first for the key."""
-        world = submission_model.World(2, 1, 1)
+        world = submission_world.World(2, 1, 1)
         agents = list(world.agents.values())
         agents.sort(key=lambda agent: views.score(*KEY, agent.name))
         self.low, self.high = agents
--- a/tests/test_submission_machine.py
+++ b/tests/test_submission_machine.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from poplardrum import ids
-from tests import submission_model
+from tests import submission_stops, submission_world
 
 AGENTS: typing.Final = 4
 ENTRIES: typing.Final = 2
@@ -59,7 +59,7 @@
     def __init__(self) -> None:
         """Start all processes; let them get old enough to be stable."""
         super().__init__()
-        self.world = submission_model.World(AGENTS, ENTRIES, KEYS)
+        self.world = submission_world.World(AGENTS, ENTRIES, KEYS)
         self.world.advance(400)
 
     @stateful.rule(key=KEY, entry=ENTRY)
@@ -173,14 +173,18 @@
     @stateful.rule(agent=AGENT, restart=st.booleans())
     def stop(self, agent: ids.MemberId, restart: bool) -> None:
         """An agent stops as planned and may be started again."""
-        if agent in self.world.agents and self.world.stop(agent) and restart:
+        if (
+            agent in self.world.agents
+            and submission_stops.stop(self.world, agent)
+            and restart
+        ):
             self.world.start_agent(agent, clean=True)
 
     @stateful.rule(agent=AGENT, leaving=st.booleans())
     def leave(self, agent: ids.MemberId, leaving: bool) -> None:
         """An operator lets an agent leave or return."""
         if agent in self.world.agents:
-            self.world.set_leaving(agent, leaving=leaving)
+            submission_stops.set_leaving(self.world, agent, leaving=leaving)
 
     @stateful.rule(entry=ENTRY)
     def restart_entry(self, entry: ids.MemberId) -> None:
@@ -215,7 +219,7 @@
     derandomize=True,
     database=None,
     deadline=None,
-    max_examples=100,
+    max_examples=300,
     stateful_step_count=60,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
--- a/tests/test_submission_scenarios.py
+++ b/tests/test_submission_scenarios.py
@@ -7,7 +7,7 @@
 from poplardrum.coordination import records, views
 from poplardrum.daemons import handover
 from poplardrum.peers import messages
-from tests import submission_model
+from tests import submission_stops, submission_world
 
 E0: typing.Final = ids.MemberId('e0')
 E1: typing.Final = ids.MemberId('e1')
@@ -18,7 +18,7 @@
 
     def setUp(self) -> None:
         """Start four stable agents; name them by their rank for one key."""
-        self.world = submission_model.World(4, 2, 1)
+        self.world = submission_world.World(4, 2, 1)
         self.world.advance(400)
         self.key = self.world.keys[0]
         agents = [agent.view.own for agent in self.world.agents.values()]
@@ -62,9 +62,9 @@
         """Guards against trust in an agent that a hand-over passed by."""
         self.complete(E0)
         self.world.finish(self.top, self.key)
-        self.world.set_leaving(self.second, leaving=True)
-        self.assertTrue(self.world.stop(self.top))
-        self.world.set_leaving(self.second, leaving=False)
+        submission_stops.set_leaving(self.world, self.second, leaving=True)
+        self.assertTrue(submission_stops.stop(self.world, self.top))
+        submission_stops.set_leaving(self.world, self.second, leaving=False)
         self.world.start_agent(self.top, clean=True)
         self.world.connect(E0, self.top)
         self.complete(E0)
@@ -72,7 +72,7 @@
 
     def test_top_agent_is_back(self) -> None:
         """Guards against a start by a new agent that ranks first."""
-        self.assertTrue(self.world.stop(self.top))
+        self.assertTrue(submission_stops.stop(self.world, self.top))
         self.complete(E0)
         self.world.start_agent(self.top, clean=True)
         self.world.connect(E1, self.top)
@@ -95,7 +95,7 @@
         buried = (self.key[0], ids.IdempotencyKey('buried'))
         owner = ids.MemberId('elsewhere')
         agent.records.bury(buried, owner, 800, 400)
-        self.assertTrue(self.world.stop(self.top))
+        self.assertTrue(submission_stops.stop(self.world, self.top))
         others = list(self.world.agents.values())
         taken = self.world.agents[self.second].records.get(self.key)
         self.assertEqual(taken and taken.answer, answer)
