Keep an agent registered whose jobs outlived its drain

Cause: the hand-over skipped unfinished jobs but reported all as taken, so the agent was forgotten and a resubmission could have started such a job again.

Change: an unfinished job makes the hand-over incomplete; a test covers it.

--- a/src/poplardrum/daemons/handover.py
+++ b/src/poplardrum/daemons/handover.py
@@ -29,7 +29,10 @@
     """
     ledger = process.submissions.ledger
     ledger.closed = True
-    complete = True
+    # A job that outlived the drain has an owner no more.
+    complete = all(
+        record.answer is not None for record in ledger.records.by_key.values()
+    )
     for member, kept in collect(process, time.monotonic()).items():
         for batch in batches(kept):
             if not await give(process, member, batch):
--- a/tests/test_submission_scenarios.py
+++ b/tests/test_submission_scenarios.py
@@ -1,5 +1,7 @@
 """Histories of the model in which one rule alone prevents a second start."""
 
+import asyncio
+import types
 import typing
 import unittest
 
@@ -104,6 +106,19 @@
             1,
         )
 
+    def test_unfinished_job(self) -> None:
+        """Guards against forgetting an agent whose job outlived its drain."""
+        agent = self.world.agents[self.top]
+        process = types.SimpleNamespace(
+            member=agent.view.own,
+            submissions=agent,
+            ready_members=list,
+        )
+        stopped = typing.cast(typing.Any, process)
+        self.assertTrue(asyncio.run(handover.hand_over(stopped)))
+        agent.records.add(self.key, records.Record(ids.JobId('j'), b'd'), 400)
+        self.assertFalse(asyncio.run(handover.hand_over(stopped)))
+
     def test_batches(self) -> None:
         """Guards against messages that hold up a link for long."""
         item = messages.KeptTombstone(*self.key, ids.MemberId('a'), 1)
