--- /dev/null
+++ b/tests/submission_model.py
@@ -0,0 +1,214 @@
+"""Model of entries and agents that exchange messages about keys.
+
+Agents decide by the classes under test; connections, pauses, crashes and
+callers are modelled. Model time is in seconds.
+"""
+
+import collections
+import dataclasses
+import types
+import typing
+
+from poplardrum import errors, ids
+from poplardrum.coordination import (
+    inquiries,
+    ledger,
+    records,
+    stability,
+    views,
+)
+from poplardrum.daemons import contacts, node
+from poplardrum.peers import messages
+
+if typing.TYPE_CHECKING:
+    from tests import submission_world
+
+SILENCE: typing.Final = 5.0
+WINDOW: typing.Final = 300.0
+DEADLINE: typing.Final = 30.0
+RECORDS: typing.Final = 3
+MAX_REDIRECTS: typing.Final = 8
+TENANT: typing.Final = ids.TenantName('lakeshore')
+Key = records.RecordKey
+
+
+def member(name: str, role: messages.Role, version: int) -> messages.Member:
+    """Return one incarnation of a process."""
+    return messages.Member(
+        ids.MemberId(name),
+        role,
+        ids.Incarnation(f'{name}-{version}'),
+        'host',
+        1,
+        'region',
+        'zone',
+        version=version * 1000,
+    )
+
+
+@dataclasses.dataclass(frozen=True)
+class Attempt:
+    """One attempt of a caller on its way to an agent."""
+
+    key: Key
+    first: bool
+    sent: float
+    unreachable: frozenset[ids.MemberId]
+    redirects: int = 0
+
+
+@dataclasses.dataclass
+class Submission:
+    """A submission whose inquiry runs."""
+
+    inquiry: inquiries.Inquiry
+    attempts: list[Attempt]
+    began: float
+
+
+class Agent:
+    """One incarnation of an agent; acts as `daemons.submissions` does."""
+
+    def __init__(
+        self, world: 'submission_world.World', own: messages.Member
+    ) -> None:
+        """Start without records."""
+        self.world = world
+        self.view = views.View(own)
+        self.stability = stability.Stability(world.now, SILENCE * 0.9)
+        self.records = records.Records(RECORDS, WINDOW)
+        self.ledger = ledger.Ledger(self.view, self.records, self.stability)
+        self.frozen = False
+        self.asks: dict[int, tuple[Key, ids.MemberId]] = {}
+        self.open: dict[Key, Submission] = {}
+
+    @property
+    def name(self) -> ids.MemberId:
+        """Return the id of the agent."""
+        return self.view.own.id
+
+    def submit(self, item: Attempt) -> None:
+        """Take an attempt."""
+        now = self.world.now
+        if item.key in self.records.by_key:
+            return
+        if item.key in self.open:
+            self.open[item.key].attempts.append(item)
+            return
+        owner = self.records.owner(item.key, now)
+        if owner is not None:
+            self.world.forward(item, owner)
+            return
+        attempt = inquiries.Attempt(
+            item.first and now - item.sent < SILENCE,
+            self.ledger.hold(DEADLINE),
+            item.unreachable,
+        )
+        inquiry = self.ledger.inquire(item.key, attempt, now)
+        self.open[item.key] = Submission(inquiry, [item], now)
+        self.go_on(item.key)
+
+    def go_on(self, key: Key) -> None:
+        """Send the next questions, or act on the outcome."""
+        submission = self.open.get(key)
+        if submission is None:
+            return
+        inquiry = submission.inquiry
+        if inquiry.outcome is not None:
+            self.open.pop(key)
+            self.ledger.settle(key, inquiry)
+            self.conclude(key, submission)
+            return
+        for target in inquiry.next_batch():
+            number = self.world.number()
+            self.asks[number] = (key, target)
+            ask = messages.AskRecord(
+                ids.RequestId(number),
+                *key,
+                self.view.own,
+                inquiry.attempt.hold,
+            )
+            self.world.send(self.name, target, ask)
+
+    def conclude(self, key: Key, submission: Submission) -> None:
+        """Start, redirect or refuse."""
+        now = self.world.now
+        inquiry = submission.inquiry
+        if key in self.records.by_key:
+            return
+        if inquiry.owner is not None:
+            for item in submission.attempts:
+                self.world.forward(item, inquiry.owner)
+        if inquiry.outcome is not inquiries.Outcome.unknown:
+            return
+        late = now - submission.attempts[0].sent >= DEADLINE
+        if late or now - submission.began > ledger.HOLD_MARGIN / 2:
+            return
+        record = records.Record(ids.JobId('j'), b'')
+        try:
+            self.records.add(key, record, now)
+        except errors.PoplardrumError:
+            self.world.refused_unknown(key, submission.attempts)
+            return
+        self.world.started(key, self)
+
+    def receive(self, sender: ids.MemberId, item: messages.Item) -> None:
+        """Take a message of another agent."""
+        if isinstance(item, messages.AskRecord):
+            key = (item.tenant, item.key)
+            reply = self.ledger.asked(item, self.world.now)
+            self.world.send(self.name, sender, reply)
+            if key in self.open and self.open[key].inquiry.outcome:
+                self.go_on(key)
+        elif isinstance(item, messages.RecordReply):
+            asked = self.asks.pop(item.request, None)
+            if asked is not None and asked[0] in self.open:
+                self.open[asked[0]].inquiry.replied(sender, item)
+                self.go_on(asked[0])
+
+    def lose(self, number: int) -> None:
+        """Give up one question."""
+        key, target = self.asks.pop(number)
+        if key in self.open:
+            self.open[key].inquiry.failed(target)
+            self.go_on(key)
+
+
+class Entry:
+    """One incarnation of an entry with its links to agents."""
+
+    def __init__(
+        self, world: 'submission_world.World', own: messages.Member
+    ) -> None:
+        """Start without links, with the view of the platform."""
+        self.view = views.View(own)
+        self.links: dict[ids.MemberId, Link] = {}
+        self.failed_dials: dict[ids.MemberId, node.FailedDial] = {}
+        self.member = own
+        self.settings = types.SimpleNamespace(
+            peers=types.SimpleNamespace(silence=SILENCE),
+        )
+        self.contacts = contacts.Contacts(typing.cast(typing.Any, self))
+
+    def link_to(self, name: ids.MemberId) -> 'Link | None':
+        """Return the link to an agent, as this entry sees it."""
+        return self.links.get(name)
+
+    def drop(self, name: ids.MemberId) -> None:
+        """Close the link to an agent; it may not notice."""
+        link = self.links.pop(name, None)
+        if link is not None:
+            self.contacts.link_down(typing.cast(typing.Any, link))
+
+
+@dataclasses.dataclass
+class Link:
+    """A link from an entry to one incarnation of an agent."""
+
+    entry: Entry
+    agent: Agent
+    member: messages.Member
+    last_seen: float
+    queue: collections.deque[typing.Any] = dataclasses.field(
+        default_factory=collections.deque,
+    )
