--- a/src/poplardrum/daemons/admission.py
+++ b/src/poplardrum/daemons/admission.py
@@ -10,11 +10,18 @@
 from poplardrum import errors, ids
 from poplardrum.operators import rules
 from poplardrum.peers import messages
-from poplardrum.scheduling import admission, estimates
+from poplardrum.scheduling import admission, ejection, estimates
 
 if typing.TYPE_CHECKING:
     from poplardrum.daemons import entry
 
+# Ends of tasks that tell whether a worker can run them.
+_JUDGED: typing.Final = (
+    errors.Code.ok,
+    errors.Code.task_failed,
+    errors.Code.endpoint_failed,
+)
+
 
 @dataclasses.dataclass
 class Ticket:
@@ -32,6 +39,7 @@
         """Start without experience."""
         self.process = process
         self.estimates = estimates.Estimates()
+        self.ejector = ejection.Ejector()
         self.judge = admission.Admission(
             admission.ExpectedWait(),
             process.random,
@@ -44,7 +52,8 @@
         Only a first attempt is refused here. Any other may belong to a known
         key, so it carries the refusal to the coordinator, which applies it
         if the key is unknown. The item's declared times and the speeds in
-        its hints are replaced by what this entry has learned.
+        its hints are replaced by what this entry has learned; the hint of an
+        ejected worker has no slot, or one for a probe.
         """
         self._follow_rules()
         request = self._request(item)
@@ -68,16 +77,27 @@
             self.judge.finished(item.tenant, len(item.tasks))
 
     def learn(self, ticket: Ticket, answer: messages.Answer) -> None:
-        """Learn from the real times in an answer."""
+        """Learn from the real times and the failures in an answer."""
         item = ticket.item
         now = time.monotonic()
         if len(answer.tasks) != len(item.tasks):
             return
         rows = zip(item.tasks, ticket.declared, answer.tasks, strict=True)
         for task, declared, outcome in rows:
-            if outcome.code is errors.Code.ok and outcome.seconds > 0:
+            if outcome.code not in _JUDGED or not outcome.worker:
+                continue
+            kind_key = (item.tenant, task.kind)
+            failed = outcome.code is not errors.Code.ok
+            self.ejector.record(
+                outcome.worker,
+                kind_key,
+                failed=failed,
+                now=now,
+                fleet=len(self.process.links),
+            )
+            if not failed and outcome.seconds > 0:
                 self.estimates.learn(
-                    (item.tenant, task.kind),
+                    kind_key,
                     declared / 1000,
                     outcome.worker,
                     outcome.seconds,
@@ -141,6 +161,11 @@
     def _hint(self, hint: messages.Hint) -> messages.Hint:
         speed = self.estimates.speed(hint.worker, hint.load.speed)
         load = msgspec.structs.replace(hint.load, speed=speed)
+        if self.ejector.is_ejected(hint.worker):
+            slots = int(
+                self.ejector.take_probe(hint.worker, time.monotonic()),
+            )
+            load = msgspec.structs.replace(load, slots=slots, free=slots)
         return messages.Hint(hint.worker, load)
 
     def _follow_rules(self) -> None:
