--- a/bench/policy_placement.py
+++ b/bench/policy_placement.py
@@ -111,11 +111,9 @@
         outcome.report(name)
         tasks = sum(len(job.tasks) for job in outcome.jobs)
         failed = sum(job.failed for job in outcome.jobs)
-        ejecting = [
-            len(home.ejector.ejected) for home in outcome.fleet.coordinators
-        ]
         show(f'{name}.failed', failed / tasks, 'per_task')
-        show(f'{name}.ejected', sum(ejecting) / len(ejecting), 'workers')
+        ejected = len(outcome.fleet.ejector.ejected)
+        show(f'{name}.ejected', ejected, 'workers')
 
 
 def main() -> None:
