--- a/tests/test_scheduling_learning.py
+++ b/tests/test_scheduling_learning.py
@@ -1,5 +1,6 @@
 """Learned times and speeds, and ejection of failing workers."""
 
+import itertools
 import random
 import typing
 import unittest
@@ -181,7 +182,7 @@
         ejector = ejection.Ejector()
         for now in range(300):
             key = (TENANT, ids.KindName(str(now % 3)))
-            for place in (4, 4, 4, 4, 4, 4, 4, 4, 4, now % FLEET):
+            for place in (*itertools.repeat(4, 40), now % FLEET):
                 ejector.record(
                     worker(place), key, failed=place == 4, now=now, fleet=FLEET
                 )
