--- a/src/poplardrum/daemons/coordinator.py
+++ b/src/poplardrum/daemons/coordinator.py
@@ -20,8 +20,9 @@
 # Policies that queue tasks at workers let them wait there for longer.
 _QUEUE_LEASE_MS: typing.Final = 30_000
 _TICK_SECONDS: typing.Final = 0.05
-# A task that is queued for longer may be taken back for a free worker.
-_QUEUED_SECONDS: typing.Final = 0.1
+# A worker believed to be free that is not gives the task back after this
+# time; the task then takes the first slot that frees anywhere.
+_QUEUE_MS: typing.Final = 250
 
 
 class Coordinator:
@@ -132,6 +133,7 @@
             link.member.incarnation,
             _LEASE_MS if late else _QUEUE_LEASE_MS,
             claim,
+            _QUEUE_MS if late else 0,
         )
         return self.grants.grant(job, target, now)
 
--- a/src/poplardrum/daemons/grants.py
+++ b/src/poplardrum/daemons/grants.py
@@ -39,6 +39,7 @@
     incarnation: ids.Incarnation
     lease_ms: float
     claim: int = 0
+    queue_ms: float = 0
 
 
 class Grants:
@@ -97,6 +98,7 @@
             spec=item.tasks[grant.task.position],
             grant=grant.number,
             claim=target.claim,
+            queue_ms=target.queue_ms,
         )
 
     def recent(self, worker: ids.MemberId, since: float) -> int:
@@ -165,11 +167,7 @@
     def close(self, job: jobs.Job) -> None:
         """Grant nothing more; ask for tasks that have not started."""
         job.ending = errors.Code.deadline
-        for worker, found in _by_worker(job.granted.values()).items():
-            self.port.send(
-                worker,
-                messages.Withdraw(_tasks(found), _numbers(found)),
-            )
+        self.withdraw(job.granted.values())
         job.end_waiting(errors.Code.deadline)
         self.finish_if_complete(job)
 
@@ -191,10 +189,8 @@
             )
 
     def withdraw(self, granted: typing.Iterable[jobs.Grant]) -> None:
-        """Ask for tasks that are still queued, once each."""
+        """Ask for tasks that are still queued."""
         for worker, found in _by_worker(granted).items():
-            for grant in found:
-                grant.withdrawn = True
             self.port.send(
                 worker,
                 messages.Withdraw(_tasks(found), _numbers(found)),
--- a/src/poplardrum/daemons/job.py
+++ b/src/poplardrum/daemons/job.py
@@ -26,7 +26,6 @@
     incarnation: ids.Incarnation
     granted_at: float
     lost_at: float | None = None
-    withdrawn: bool = False
 
 
 @dataclasses.dataclass
--- a/src/poplardrum/daemons/slots.py
+++ b/src/poplardrum/daemons/slots.py
@@ -203,10 +203,13 @@
 
     def enqueue(self, held: Held, now: float) -> None:
         """Queue a granted task until a slot is free for it."""
+        ends = min(held.lease_ends, held.deadline)
+        if held.start.queue_ms:
+            ends = min(ends, now + held.start.queue_ms / 1000)
         self.queue.push_task(
             held.start,
             self.port.expected(held.start),
-            min(held.lease_ends, held.deadline),
+            ends,
             now,
         )
 
@@ -335,7 +338,8 @@
             payload = entry.payload
             if isinstance(payload, backlog.QueuedTask):
                 held = self.held[payload.task]
-                self.refuse(held, errors.Code.deadline, now)
+                reason = held.lapsed(now) or errors.Code.overload
+                self.refuse(held, reason, now)
         self.pump(now)
 
     def coordinator_lost(self, member: ids.MemberId, now: float) -> None:
--- a/src/poplardrum/peers/messages.py
+++ b/src/poplardrum/peers/messages.py
@@ -182,7 +182,8 @@
 
     `grant` numbers the grants of a coordinator. `claim` names the claim
     that this answers, 0 when there was none. `order` and `deadline_ms` are
-    relative to the time the frame was sent.
+    relative to the time the frame was sent. A task that finds no free slot
+    within `queue_ms` is given back, 0 lets it wait until the lease ends.
     """
 
     task: ids.TaskId
@@ -196,6 +197,7 @@
     spec: TaskSpec
     grant: int = 0
     claim: int = 0
+    queue_ms: float = 0
 
 
 class Reserve(Item):
--- a/tests/test_execution_grants.py
+++ b/tests/test_execution_grants.py
@@ -115,6 +115,23 @@
         self.assertEqual(self.world.starts.total(), 0)
         self.assertEqual(len(self.job.waiting), 4)
 
+    def test_queued_too_long(self) -> None:
+        """Guards against a task that waits at a busy worker."""
+        for position in range(3):
+            target = grants.Target(
+                position,
+                W0,
+                self.hand.incarnation,
+                1000 * execution_model.LEASE,
+                queue_ms=250,
+            )
+            self.head.grants.grant(self.job, target, self.world.now)
+        self.deliver()
+        self.world.tick(0.3)
+        self.deliver()
+        self.assertEqual(self.world.starts.total(), execution_model.SLOTS)
+        self.assertEqual(sorted(self.job.waiting), [2, 3])
+
     def test_lost_worker_is_bounded(self) -> None:
         """Guards against a job that waits for a worker that never returns."""
         self.grant(4)
