Let a tenant alone queue up to its deadline; report relief early

The entry refused jobs of the only active tenant once they would wait 2 s, and it judged by loads up to a heartbeat (2 s) old. tests.test_admission_entry failed once: an agent whose registration an entry had written first took its own place for one of an earlier incarnation, so unknown keys were indeterminate.

Change: the wait limit applies only while another tenant is active; an agent reports the end of a large backlog at the next tick; a registration of the agent's own incarnation counts as a free place.

--- a/src/poplardrum/daemons/agent.py
+++ b/src/poplardrum/daemons/agent.py
@@ -28,6 +28,8 @@
 logger = logging.getLogger(__name__)
 
 _TICK_SECONDS: typing.Final = 0.25
+# Backlog for each slot from which an entry may refuse work.
+_LARGE_BACKLOG_SECONDS: typing.Final = 0.5
 _QUIET_TICKS: typing.Final = 4
 _LEAVING: typing.Final = 'leaving'
 
@@ -47,6 +49,7 @@
         self.submissions = submissions.Submissions(self)
         self.local = links.LocalLink(self)
         self.neighbours = neighbours.Neighbours(self)
+        self.backlog = 0.0
 
     def load(self) -> messages.Load:
         """Return the load of the endpoint."""
@@ -181,8 +184,25 @@
         """Apply the operators' rule for this worker, until cancelled."""
         while True:
             self.tell_state()
+            self.tell_relief()
             await asyncio.sleep(_TICK_SECONDS)
 
+    def tell_relief(self) -> None:
+        """Report the end of a large backlog before the next heartbeat.
+
+        Entries refuse work by the load that they last heard of, which may be
+        a heartbeat old.
+        """
+        load = self.load()
+        backlog = sum(load.backlog.values()) / max(1, load.slots)
+        relieved = self.backlog > _LARGE_BACKLOG_SECONDS and not backlog
+        self.backlog = backlog
+        if not relieved:
+            return
+        for link in self.inbound.values():
+            if link.member.role is messages.Role.entry:
+                link.send(messages.Heartbeat())
+
     async def drain(self) -> None:
         """Take no new work, finish what runs, within the set time.
 
--- a/src/poplardrum/daemons/membership.py
+++ b/src/poplardrum/daemons/membership.py
@@ -25,14 +25,19 @@
     """Write this process's entry, trying until the platform takes it.
 
     Returns whether the place was free, so that no earlier incarnation has
-    ended without handing over its records.
+    ended without handing over its records. An entry that was linked first may
+    have registered this incarnation; it writes only where nothing stands.
     """
     key = store.MEMBERS_PREFIX + process.member.id
     free: bool | None = None
     while True:
         try:
             if free is None:
-                free = not (await platform.read(key)).values
+                snapshot = await platform.read(key)
+                free = all(
+                    _incarnation(stored) == process.member.incarnation
+                    for stored in snapshot.values
+                )
             await platform.write(key, msgspec.json.encode(process.member))
         except errors.PoplardrumError as error:
             logger.warning('registration: %s', error.message)
@@ -41,6 +46,14 @@
         return free
 
 
+def _incarnation(stored: store.StoredValue) -> ids.Incarnation | None:
+    try:
+        member = msgspec.json.decode(stored.value, type=messages.Member)
+    except msgspec.DecodeError:
+        return None
+    return member.incarnation
+
+
 async def sweep(process: 'entry.Entry', platform: store.Store) -> None:
     """Remove members that have been out of reach for a whole window."""
     interval = min(_SWEEP_SECONDS, process.settings.limits.window / 4)
--- a/src/poplardrum/scheduling/admission.py
+++ b/src/poplardrum/scheduling/admission.py
@@ -145,6 +145,11 @@
     share: float
     others: float
 
+    @property
+    def uncontended(self) -> bool:
+        """Tell whether no other tenant is active."""
+        return self.share >= self.total
+
     @property
     def expected(self) -> float:
         """Return the rate at which the tenant's work is expected to run."""
@@ -156,7 +161,8 @@
     """What a rule judges by; `wait` is the expected one in seconds.
 
     `within` tells that the tenant has used no more than its share, this job
-    included.
+    included, or that no other tenant is active: a rush may then queue up to
+    its deadline, since nobody waits for its slots.
     """
 
     state: TenantState
@@ -324,7 +330,7 @@
             wait=backlog / rates.expected,
             now=now,
             chance=self.choice.random(),
-            within=usage <= rates.share,
+            within=usage <= rates.share or rates.uncontended,
         )
 
     def _backlog(
