Name the missing configuration before the missing members

Cause: an entry that starts in an outage lacks both; it answered 'unavailable' where its operator needs to hear of the missing rules.

Change: the check of the configuration comes first.

--- a/src/poplardrum/daemons/entry.py
+++ b/src/poplardrum/daemons/entry.py
@@ -85,18 +85,18 @@
                 'this entry is stopping',
                 retry_after=1,
             )
-        if not self.joined:
-            raise errors.refusal(
-                errors.Code.unavailable,
-                'the members of the system are not known yet',
-                retry_after=1,
-            )
         if not self.configuration.number:
             raise errors.refusal(
                 errors.Code.no_configuration,
                 'no configuration is known yet',
                 retry_after=1,
             )
+        if not self.joined:
+            raise errors.refusal(
+                errors.Code.unavailable,
+                'the members of the system are not known yet',
+                retry_after=1,
+            )
 
     def live_agents(self) -> list[messages.Member]:
         """Return the agents that this entry has links to."""
