Move frames out of the messages module

Cause: messages.py had grown to 420 lines with the messages of grants and records.

Change: frames.py holds the frame, the union of its items by their owners and the join call; messages.py keeps the single messages.

--- a/bench/cost_links.py
+++ b/bench/cost_links.py
@@ -17,7 +17,7 @@
 
 from bench import figures
 from poplardrum import errors, ids
-from poplardrum.peers import codec, messages
+from poplardrum.peers import codec, frames, messages
 from poplardrum.standins import ports
 
 _ROUTE: typing.Final = '/bench.Link/Echo'
@@ -25,10 +25,10 @@
 _BATCH: typing.Final = 10
 _LENGTH_BYTES: typing.Final = 4
 
-Exchange = typing.Callable[[messages.Frame], typing.Awaitable[messages.Frame]]
+Exchange = typing.Callable[[frames.Frame], typing.Awaitable[frames.Frame]]
 
 
-def frame(items: int) -> messages.Frame:
+def frame(items: int) -> frames.Frame:
     """Return a frame of finished tasks."""
     done = messages.Done(
         ids.TaskId(ids.JobId('0123456789abcdef-01234567'), 7),
@@ -41,7 +41,7 @@
         ),
     )
     load = messages.Load(8, 3, 0)
-    return messages.Frame(
+    return frames.Frame(
         1.0,
         ids.ConfigNumber(4),
         [done for _ in range(items)],
@@ -63,8 +63,8 @@
             _ROUTE: const.Handler(
                 self.echo,
                 const.Cardinality.STREAM_STREAM,
-                messages.Frame,
-                messages.Frame,
+                frames.Frame,
+                frames.Frame,
             ),
         }
 
@@ -87,15 +87,15 @@
     method = client.StreamStreamMethod(
         channel,
         _ROUTE,
-        messages.Frame,
-        messages.Frame,
+        frames.Frame,
+        frames.Frame,
     )
     stream = await stack.enter_async_context(method.open())
     await stream.send_request()
 
-    async def exchange(sent: messages.Frame) -> messages.Frame:
+    async def exchange(sent: frames.Frame) -> frames.Frame:
         await stream.send_message(sent)
-        return typing.cast(messages.Frame, await stream.recv_message())
+        return typing.cast(frames.Frame, await stream.recv_message())
 
     stack.push_async_callback(stream.cancel)
     return exchange
@@ -114,19 +114,19 @@
         self.writer = writer
         self.codec = codec.MessagePackCodec()
 
-    async def send(self, sent: messages.Frame) -> None:
+    async def send(self, sent: frames.Frame) -> None:
         """Write one frame."""
-        content = self.codec.encode(sent, messages.Frame)
+        content = self.codec.encode(sent, frames.Frame)
         self.writer.write(len(content).to_bytes(_LENGTH_BYTES) + content)
         await self.writer.drain()
 
-    async def receive(self) -> messages.Frame:
+    async def receive(self) -> frames.Frame:
         """Read one frame."""
         length = int.from_bytes(await self.reader.readexactly(_LENGTH_BYTES))
         content = await self.reader.readexactly(length)
         return typing.cast(
-            messages.Frame,
-            self.codec.decode(content, messages.Frame),
+            frames.Frame,
+            self.codec.decode(content, frames.Frame),
         )
 
 
@@ -149,7 +149,7 @@
     stack.callback(writer.close)
     stream = PlainStream(reader, writer)
 
-    async def exchange(sent: messages.Frame) -> messages.Frame:
+    async def exchange(sent: frames.Frame) -> frames.Frame:
         await stream.send(sent)
         return await stream.receive()
 
@@ -179,7 +179,7 @@
 
 async def main() -> list[figures.Figure]:
     """Measure both kinds."""
-    size = len(codec.MessagePackCodec().encode(frame(1), messages.Frame))
+    size = len(codec.MessagePackCodec().encode(frame(1), frames.Frame))
     return [
         figures.plain('links.frame_items_1', size, 'B'),
         *await measure('grpclib', grpclib_exchange),
--- a/src/poplardrum/daemons/coordinator.py
+++ b/src/poplardrum/daemons/coordinator.py
@@ -8,7 +8,7 @@
 from poplardrum import ids
 from poplardrum.daemons import grants, reservations, workers
 from poplardrum.daemons import job as jobs
-from poplardrum.peers import dispatch, links, messages
+from poplardrum.peers import dispatch, frames, links, messages
 from poplardrum.scheduling import placement
 
 if typing.TYPE_CHECKING:
@@ -152,7 +152,7 @@
         self.process.metrics.wasted.labels('no_task').inc(2)
         self.send(worker, messages.NoTask(item.job, item.claim))
 
-    def send(self, worker: ids.MemberId, item: messages.AnyItem) -> bool:
+    def send(self, worker: ids.MemberId, item: frames.AnyItem) -> bool:
         """Send to a worker, together with releases that are due."""
         link = self.process.worker_link(worker)
         if link is None:
--- a/src/poplardrum/daemons/grants.py
+++ b/src/poplardrum/daemons/grants.py
@@ -9,7 +9,7 @@
 
 from poplardrum import errors, ids
 from poplardrum.daemons import job as jobs
-from poplardrum.peers import messages
+from poplardrum.peers import frames, messages
 
 # Equal to the lease: a worker that was lost for longer starts nothing more.
 LOST_SECONDS: typing.Final = 10.0
@@ -24,7 +24,7 @@
 class Port(typing.Protocol):
     """What the grants need from the process around them."""
 
-    def send(self, worker: ids.MemberId, item: messages.AnyItem) -> bool:
+    def send(self, worker: ids.MemberId, item: frames.AnyItem) -> bool:
         """Send to a worker; return `False` when its link is down."""
 
     def finished(self, job: jobs.Job) -> None:
--- a/src/poplardrum/daemons/node.py
+++ b/src/poplardrum/daemons/node.py
@@ -15,7 +15,7 @@
 from poplardrum.callers import guard
 from poplardrum.coordination import views
 from poplardrum.operators import document, holder
-from poplardrum.peers import dispatch, links, messages
+from poplardrum.peers import dispatch, frames, links, messages
 
 logger = logging.getLogger(__name__)
 
@@ -96,15 +96,15 @@
 
     def frame(
         self,
-        items: list[messages.AnyItem],
+        items: list[frames.AnyItem],
         echo: float = 0,
-    ) -> messages.Frame:
+    ) -> frames.Frame:
         """Wrap items for one peer with the state that every frame carries.
 
         `echo` is the peer's time on its latest frame.
         """
         self.metrics.frame_sent(items)
-        return messages.Frame(
+        return frames.Frame(
             sent=time.monotonic(),
             config=self.configuration.number,
             items=items,
--- a/src/poplardrum/daemons/slots.py
+++ b/src/poplardrum/daemons/slots.py
@@ -10,7 +10,7 @@
 
 from poplardrum import errors, ids
 from poplardrum.daemons import backlog, memory
-from poplardrum.peers import messages
+from poplardrum.peers import frames, messages
 
 # A coordinator answers a claim within a round trip; one that is paused must
 # not keep a slot from the other entries of the queue.
@@ -80,7 +80,7 @@
 class Port(typing.Protocol):
     """What the slots need from the process around them."""
 
-    def send(self, owner: Owner, item: messages.AnyItem) -> bool:
+    def send(self, owner: Owner, item: frames.AnyItem) -> bool:
         """Send to a coordinator; return `False` when its link is down."""
 
     def expected(self, item: messages.Start) -> float:
--- a/src/poplardrum/daemons/worker.py
+++ b/src/poplardrum/daemons/worker.py
@@ -8,7 +8,7 @@
 from poplardrum import errors, ids
 from poplardrum.daemons import recalls, slots
 from poplardrum.endpoints import announcements, runner
-from poplardrum.peers import dispatch, links, messages
+from poplardrum.peers import dispatch, frames, links, messages
 
 if typing.TYPE_CHECKING:
     from poplardrum.daemons import agent
@@ -176,7 +176,7 @@
             await self.runner.stop(address, held.task)
             await asyncio.sleep(_RESTOP_SECONDS)
 
-    def send(self, owner: slots.Owner, item: messages.AnyItem) -> bool:
+    def send(self, owner: slots.Owner, item: frames.AnyItem) -> bool:
         """Send to a coordinator over the link that it opened."""
         link = self.process.coordinator_link(owner.member)
         if link is None or link.member.incarnation != owner.incarnation:
--- a/src/poplardrum/peers/links.py
+++ b/src/poplardrum/peers/links.py
@@ -15,7 +15,7 @@
 from grpclib import server as grpc_server
 
 from poplardrum import ids
-from poplardrum.peers import codec, dispatch, messages, outbox
+from poplardrum.peers import codec, dispatch, frames, messages, outbox
 
 if typing.TYPE_CHECKING:
     from poplardrum import settings
@@ -46,10 +46,10 @@
 class FrameStream(typing.Protocol):
     """The part of a grpclib stream that a link uses."""
 
-    async def send_message(self, message: messages.Frame) -> None:
+    async def send_message(self, message: frames.Frame) -> None:
         """Write one frame."""
 
-    async def recv_message(self) -> messages.Frame | None:
+    async def recv_message(self) -> frames.Frame | None:
         """Read one frame; `None` at the end of the stream."""
 
 
@@ -77,11 +77,11 @@
         """Tell whether items can still be written."""
         return not (self.outbox.closed or self.outbox.ending)
 
-    def send(self, item: messages.AnyItem) -> bool:
+    def send(self, item: frames.AnyItem) -> bool:
         """Queue an item; return `False` when the link is closed."""
         return self.outbox.put(item)
 
-    def observe(self, frame: messages.Frame) -> None:
+    def observe(self, frame: frames.Frame) -> None:
         """Note load, configuration number and age of a received frame.
 
         The smallest difference between the clocks seen so far stands for a
@@ -108,13 +108,13 @@
         self.process = process
         self.load = None
 
-    def send(self, item: messages.AnyItem) -> bool:
+    def send(self, item: frames.AnyItem) -> bool:
         """Deliver the item soon, in order."""
         loop = asyncio.get_running_loop()
         loop.call_soon(self.deliver, item, time.monotonic())
         return True
 
-    def deliver(self, item: messages.AnyItem, sent: float) -> None:
+    def deliver(self, item: frames.AnyItem, sent: float) -> None:
         """Hand over an item; its age counts a pause of the process."""
         self.frame_age = time.monotonic() - sent
         dispatch.receive(item, self.process, self)
@@ -150,8 +150,8 @@
         method = client.StreamStreamMethod(
             channel,
             LINK_ROUTE,
-            messages.Frame,
-            messages.Frame,
+            frames.Frame,
+            frames.Frame,
         )
         stream = await stack.enter_async_context(method.open())
         revision = process.view.revision
@@ -163,7 +163,7 @@
         await stream.cancel()
 
 
-def _hello(process: 'node.Node') -> messages.Frame:
+def _hello(process: 'node.Node') -> frames.Frame:
     return process.frame(
         [
             messages.Hello(process.member, process.known_members()),
@@ -174,7 +174,7 @@
 async def _serve(
     process: 'node.Node',
     stream: FrameStream,
-    first: messages.Frame | None,
+    first: frames.Frame | None,
     revision: int,
     *,
     dialed: bool,
@@ -252,7 +252,7 @@
 def _receive(
     process: 'node.Node',
     link: Link,
-    frame: messages.Frame,
+    frame: frames.Frame,
 ) -> None:
     link.observe(frame)
     process.observe(link)
@@ -275,11 +275,11 @@
         method: typing.Any = client.UnaryUnaryMethod(
             channel,
             JOIN_ROUTE,
-            messages.JoinRequest,
-            messages.JoinReply,
+            frames.JoinRequest,
+            frames.JoinReply,
         )
         reply = await method(
-            messages.JoinRequest(process.member),
+            frames.JoinRequest(process.member),
             timeout=process.settings.peers.silence,
         )
     return list(reply.members)
@@ -308,7 +308,7 @@
         if request is not None:
             self.process.member_seen(request.member)
             await stream.send_message(
-                messages.JoinReply(self.process.known_members()),
+                frames.JoinReply(self.process.known_members()),
             )
 
     def __mapping__(self) -> dict[str, const.Handler]:
@@ -317,14 +317,14 @@
             LINK_ROUTE: const.Handler(
                 self.link,
                 const.Cardinality.STREAM_STREAM,
-                messages.Frame,
-                messages.Frame,
+                frames.Frame,
+                frames.Frame,
             ),
             JOIN_ROUTE: const.Handler(
                 self.join,
                 const.Cardinality.UNARY_UNARY,
-                messages.JoinRequest,
-                messages.JoinReply,
+                frames.JoinRequest,
+                frames.JoinReply,
             ),
         }
 
--- a/src/poplardrum/peers/messages.py
+++ b/src/poplardrum/peers/messages.py
@@ -4,7 +4,6 @@
 """
 
 import enum
-import typing
 
 import msgspec
 
@@ -360,61 +359,3 @@
 
     request: ids.RequestId
     accepted: int
-
-
-AnyItem = (
-    Hello
-    | View
-    | Heartbeat
-    | Leaving
-    | ConfigUpdate
-    | SubmitJob
-    | FetchJob
-    | CancelJob
-    | JobReply
-    | Start
-    | Reserve
-    | Claim
-    | NoTask
-    | Release
-    | Withdraw
-    | StopTasks
-    | QueryTasks
-    | Done
-    | NotStarted
-    | TaskRunning
-    | AskRecord
-    | RecordReply
-    | HandOver
-    | HandOverAck
-)
-
-
-class Frame(msgspec.Struct, array_like=True, frozen=True):
-    """Everything that one peer sends to another at one moment.
-
-    `sent` is the sender's monotonic time in seconds, which lets the
-    receiver estimate how long the frame has waited. `echo` is the `sent` of
-    the latest frame that the sender had received on this link.
-    """
-
-    sent: float
-    config: ids.ConfigNumber
-    items: list[AnyItem]
-    load: Load | None = None
-    echo: float = 0
-
-
-class JoinRequest(msgspec.Struct, frozen=True):
-    """Ask a known peer to let the sender into its view."""
-
-    member: Member
-
-
-class JoinReply(msgspec.Struct, frozen=True):
-    """Answer with all members that the peer knows."""
-
-    members: list[Member]
-
-
-Payload = typing.Union[Frame, JoinRequest, JoinReply]
--- a/src/poplardrum/peers/outbox.py
+++ b/src/poplardrum/peers/outbox.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from poplardrum.peers import messages
+from poplardrum.peers import frames, messages
 
 
 class Outbox:
@@ -10,12 +10,12 @@
 
     def __init__(self) -> None:
         """Start empty and open."""
-        self.items: list[messages.AnyItem] = []
+        self.items: list[frames.AnyItem] = []
         self.wakeup = asyncio.Event()
         self.closed = False
         self.ending = False
 
-    def put(self, item: messages.AnyItem) -> bool:
+    def put(self, item: frames.AnyItem) -> bool:
         """Add an item; return `False` when the link is closed."""
         if self.closed or self.ending:
             return False
@@ -28,14 +28,14 @@
         self.ending = True
         self.wakeup.set()
 
-    def close(self) -> list[messages.AnyItem]:
+    def close(self) -> list[frames.AnyItem]:
         """Close and return the items that were never written."""
         self.closed = True
         self.wakeup.set()
         unsent, self.items = self.items, []
         return unsent
 
-    async def take(self, interval: float) -> list[messages.AnyItem]:
+    async def take(self, interval: float) -> list[frames.AnyItem]:
         """Wait for items, or return a heartbeat after `interval` seconds."""
         if not (self.items or self.closed or self.ending):
             try:
--- a/tests/execution_model.py
+++ b/tests/execution_model.py
@@ -7,7 +7,7 @@
 from poplardrum import errors, ids
 from poplardrum.daemons import grants, recalls, reservations, slots
 from poplardrum.daemons import job as jobs
-from poplardrum.peers import messages
+from poplardrum.peers import frames, messages
 
 LEASE: typing.Final = 10.0
 SLOTS: typing.Final = 2
@@ -46,7 +46,7 @@
         self.incarnation = ids.Incarnation(f'{name}-{number}')
         self.grants = grants.Grants(self, self.name, self.incarnation)
 
-    def send(self, worker: ids.MemberId, item: messages.AnyItem) -> bool:
+    def send(self, worker: ids.MemberId, item: frames.AnyItem) -> bool:
         """Put an item on the wire if the link is up on this side."""
         wire = self.world.wire(self.name, worker)
         if not wire.near:
@@ -113,7 +113,7 @@
         self.slots = slots.Slots(self, slots.Bounds(50, 100, 10_000))
         self.slots.offer(SLOTS, world.now)
 
-    def send(self, owner: slots.Owner, item: messages.AnyItem) -> bool:
+    def send(self, owner: slots.Owner, item: frames.AnyItem) -> bool:
         """Put an item on the wire if the link is up on this side."""
         wire = self.world.wire(owner.member, self.name)
         current = self.world.coordinators[owner.member]
