--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,8 +2,8 @@
 
 import contextlib
 import json
-import re
 import pathlib
+import re
 import socket
 import tempfile
 import threading
