--- /dev/null
+++ b/src/poplardrum/dispatch/__main__.py
@@ -0,0 +1,7 @@
+"""Allow `python -m poplardrum.dispatch ROLE`."""
+
+import sys
+
+from poplardrum.dispatch import start
+
+sys.exit(start.main(sys.argv[1:]))
--- /dev/null
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -0,0 +1,253 @@
+"""Jobs of an entry: waiting, placed at agents, answered."""
+
+import asyncio
+import logging
+import typing
+
+from poplardrum import errors, ids
+from poplardrum.dispatch import fleet, jobs, messages, placement
+
+logger = logging.getLogger(__name__)
+
+# Longest time for which tasks may run on at an agent whose connection is
+# lost: its silence and resume times, its stops, and the endpoint's lease.
+SAFE: typing.Final = 2.3
+_REFUSED_AGAIN: typing.Final = 0.02
+
+
+class Coordinator:
+    """Place the tasks of all jobs that this entry took."""
+
+    def __init__(self, zone: str) -> None:
+        """Start without agents and jobs."""
+        self.zone = zone
+        self.agents: dict[ids.Incarnation, fleet.Agent] = {}
+        self.jobs: dict[ids.JobId, jobs.Job] = {}
+        self.pumping = False
+
+    def submit(self, job: jobs.Job) -> None:
+        """Take a job; its `answer` is set when it ends."""
+        if job.id in self.jobs:
+            raise errors.uncertain(
+                errors.Code.key_reused,
+                'the job is running here already',
+            )
+        self.jobs[job.id] = job
+        loop = asyncio.get_running_loop()
+        loop.call_at(job.refuse_at, self._refuse_waiting, job)
+        loop.call_at(job.give_up_at, self._give_up, job)
+        self.wake()
+
+    def finish(self, job: jobs.Job) -> None:
+        """Forget a job and stop what is left of it."""
+        if self.jobs.get(job.id) is not job:
+            return
+        self.jobs.pop(job.id)
+        stops: dict[fleet.Agent, list[int]] = {}
+        for task in job.placed():
+            if task.agent is not None:
+                stops.setdefault(task.agent, []).append(task.index)
+        for agent, indexes in stops.items():
+            if agent.link is not None:
+                agent.link.send(messages.StopTasks(job.id, indexes))
+
+    def attach(self, agent: fleet.Agent) -> None:
+        """Take over an agent that has connected."""
+        self.agents[agent.incarnation] = agent
+
+    def detach(self, agent: fleet.Agent) -> None:
+        """Keep a lost agent's tasks until they have ended for certain."""
+        asyncio.get_running_loop().call_later(SAFE, self._expire, agent)
+
+    def take(self, agent: fleet.Agent, message: messages.AnyMessage) -> None:
+        """Handle a message of an agent."""
+        match message:
+            case messages.Load():
+                self._load(agent, message)
+            case messages.Ended():
+                self._ended(agent, message)
+            case messages.Refused():
+                self._refused(agent, message)
+            case messages.Holding():
+                self._holding(agent, message)
+            case _:
+                pass
+
+    def wake(self) -> None:
+        """Place waiting tasks in the next turn of the event loop."""
+        if not self.pumping:
+            self.pumping = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    def _pump(self) -> None:
+        self.pumping = False
+        waiting = [job for job in self.jobs.values() if job.waiting()]
+        waiting.sort(key=_order)
+        for job in waiting:
+            if not self._place(job):
+                break
+
+    def _place(self, job: jobs.Job) -> bool:
+        """Place what fits; return whether all tasks are placed."""
+        tasks = job.waiting()
+        avoided: set[str] = set()
+        for task in tasks:
+            avoided |= task.avoided
+        picks = placement.choose(
+            self.agents.values(),
+            job.need,
+            len(tasks),
+            self.zone,
+            avoided,
+        )
+        for agent, count in picks:
+            self._send(job, agent, tasks[:count])
+            tasks = tasks[count:]
+        return not tasks
+
+    def _send(
+        self,
+        job: jobs.Job,
+        agent: fleet.Agent,
+        tasks: list[jobs.Task],
+    ) -> None:
+        if agent.link is None:
+            return
+        for task in tasks:
+            task.phase = jobs.Phase.placed
+            task.run += 1
+            task.agent = agent
+        if not job.started:
+            job.started_at = asyncio.get_running_loop().time()
+        job.started = True
+        agent.ordered(job.need, len(tasks))
+        agent.link.send(
+            messages.StartTasks(
+                job.id,
+                job.specification,
+                job.need,
+                job.estimate,
+                [messages.TaskRun(task.index, task.run) for task in tasks],
+            ),
+        )
+
+    def _load(self, agent: fleet.Agent, load: messages.Load) -> None:
+        agent.report(load)
+        if load.accepting:
+            self._replace_predecessors(agent)
+        self.wake()
+
+    def _replace_predecessors(self, agent: fleet.Agent) -> None:
+        # A new process accepts only when nothing of the last one is left.
+        for other in list(self.agents.values()):
+            if other.node == agent.node and other is not agent:
+                if other.link is None:
+                    self._expire(other)
+
+    def _ended(self, agent: fleet.Agent, ended: messages.Ended) -> None:
+        found = self._find(agent, ended.job, ended.task)
+        if found is None:
+            return
+        job, task = found
+        if ended.outcome is messages.Outcome.done:
+            task.phase = jobs.Phase.done
+            if all(each.phase is jobs.Phase.done for each in job.tasks):
+                _answer(job, jobs.Answer.completed)
+            return
+        task.phase = jobs.Phase.waiting
+        if ended.outcome is messages.Outcome.failed:
+            task.failures += 1
+            task.avoided.add(agent.node)
+            if task.failures >= job.attempts:
+                _answer(job, jobs.Answer.failed)
+                return
+        self.wake()
+
+    def _refused(self, agent: fleet.Agent, refused: messages.Refused) -> None:
+        for run in refused.tasks:
+            found = self._find(agent, refused.job, run)
+            if found is None:
+                continue
+            _, task = found
+            task.phase = jobs.Phase.waiting
+            if refused.reason is not messages.Refusal.no_room:
+                task.avoided.add(agent.node)
+        loop = asyncio.get_running_loop()
+        loop.call_later(_REFUSED_AGAIN, self.wake)
+
+    def _holding(self, agent: fleet.Agent, held: messages.Holding) -> None:
+        runs = {(job, run.index, run.run) for job, run in held.runs}
+        for job, task in self._placed_at(agent):
+            key = (job.id, task.index, task.run)
+            if key in runs:
+                runs.discard(key)
+            else:
+                task.phase = jobs.Phase.waiting
+        if agent.link is not None:
+            for job_id, index, _ in runs:
+                agent.link.send(messages.StopTasks(job_id, [index]))
+        self.wake()
+
+    def _placed_at(
+        self,
+        agent: fleet.Agent,
+    ) -> list[tuple[jobs.Job, jobs.Task]]:
+        return [
+            (job, task)
+            for job in self.jobs.values()
+            for task in job.placed()
+            if task.agent is agent
+        ]
+
+    def _find(
+        self,
+        agent: fleet.Agent,
+        job_id: ids.JobId,
+        run: messages.TaskRun,
+    ) -> tuple[jobs.Job, jobs.Task] | None:
+        """Return a task that is placed in just this run."""
+        job = self.jobs.get(job_id)
+        if job is None or run.index >= len(job.tasks):
+            return None
+        task = job.tasks[run.index]
+        if task.agent is not agent or task.run != run.run:
+            return None
+        if task.phase is not jobs.Phase.placed:
+            return None
+        return job, task
+
+    def _expire(self, agent: fleet.Agent) -> None:
+        if agent.link is not None:
+            return
+        if self.agents.pop(agent.incarnation, None) is None:
+            return
+        for _, task in self._placed_at(agent):
+            task.phase = jobs.Phase.waiting
+            task.avoided.add(agent.node)
+        self.wake()
+
+    def _refuse_waiting(self, job: jobs.Job) -> None:
+        if not job.started and not job.answer.done():
+            job.answer.set_exception(
+                errors.refusal(
+                    errors.Code.overload,
+                    'no room in time',
+                    retry_after=1,
+                ),
+            )
+
+    def _give_up(self, job: jobs.Job) -> None:
+        if not job.answer.done():
+            job.answer.set_exception(
+                errors.uncertain(errors.Code.deadline, 'deadline passed'),
+            )
+
+
+def _order(job: jobs.Job) -> tuple[bool, float]:
+    # Jobs that hold room already go first, then those whose time runs out.
+    return not job.started, job.refuse_at
+
+
+def _answer(job: jobs.Job, answer: jobs.Answer) -> None:
+    if not job.answer.done():
+        job.answer.set_result(answer)
--- /dev/null
+++ b/src/poplardrum/dispatch/executor.py
@@ -0,0 +1,465 @@
+"""Tasks of an agent's endpoint: starts, stops, lease and ends."""
+
+import asyncio
+import dataclasses
+import enum
+import logging
+import typing
+
+from poplardrum import ids
+from poplardrum.dispatch import clocks, health, lease, messages, owners
+from poplardrum.platform import callers, endpoints
+
+logger = logging.getLogger(__name__)
+
+_START_LIMIT: typing.Final = 0.3
+_STOP_LIMIT: typing.Final = 0.1
+_STOP_BUDGET: typing.Final = 0.25
+_START_ATTEMPTS: typing.Final = 3
+_LIST_MARGIN: typing.Final = 0.03
+
+Key = tuple[ids.JobId, int]
+
+
+class State(enum.Enum):
+    """State of a run at the endpoint."""
+
+    starting = 'starting'
+    unanswered = 'unanswered'
+    running = 'running'
+
+
+@dataclasses.dataclass
+class Task:
+    """One run that takes room at the endpoint.
+
+    `listed_from`: reports asked for from this time on list the run if it
+    is there. `token` is that of its last start order.
+    """
+
+    owner: owners.Owner
+    job: ids.JobId
+    run: messages.TaskRun
+    need: messages.Need
+    estimate: float
+    state: State = State.starting
+    stopping: bool = False
+    token: int = 0
+    started_at: float = 0.0
+    listed_from: float | None = None
+
+    def key(self) -> Key:
+        """Return the key of the task table."""
+        return self.job, self.run.index
+
+    def name(self) -> str:
+        """Return the endpoint's name for the task."""
+        return callers.task_name(self.job, self.run.index)
+
+
+class Executor:
+    """Run tasks at one endpoint, within its capacity and under its lease.
+
+    It alone calls the endpoint, so its table tells what may be running
+    there: a run stays in it until the endpoint has listed its end, denied
+    it, or lost its lease.
+    """
+
+    def __init__(
+        self,
+        endpoint: endpoints.Endpoint,
+        longest_lease: float,
+        stop_time: float,
+    ) -> None:
+        """Start without a known endpoint."""
+        self.endpoint = endpoint
+        self.stop_time = stop_time
+        self.lease = lease.Lease(longest_lease)
+        self.health = health.Health()
+        self.slowness = health.Slowness()
+        self.tasks: dict[Key, Task] = {}
+        self.heartbeat: endpoints.Heartbeat | None = None
+        self.born = 0
+        self.seen = 0
+        # Runs of a predecessor may be there until a report says otherwise.
+        self.clean = False
+        self.reachable = True
+        self.stopping = False
+        self.changed = asyncio.Event()
+        self.work = asyncio.Event()
+        self.work.set()
+        self.background: set[asyncio.Task[None]] = set()
+
+    def accepting(self) -> bool:
+        """Return whether new tasks may start."""
+        beat = self.heartbeat
+        return (
+            beat is not None
+            and beat.state == endpoints.READY
+            and self.clean
+            and self.reachable
+            and not self.stopping
+            and not self.lease.suspended
+            and self.health.room(clocks.now(), len(self.tasks))
+        )
+
+    def free(self) -> messages.Need:
+        """Return the room that no run takes, probable runs included."""
+        if self.heartbeat is None:
+            return messages.Need(0, 0, 0)
+        room = self.heartbeat.capacity
+        needs = [task.need for task in self.tasks.values()]
+        return messages.Need(
+            room.cpu - sum(need.cpu for need in needs),
+            room.memory_mb - sum(need.memory_mb for need in needs),
+            room.gpus - sum(need.gpus for need in needs),
+        )
+
+    def start(self, owner: owners.Owner, order: messages.StartTasks) -> None:
+        """Start what fits; refuse the rest at once."""
+        refused: dict[messages.Refusal, list[messages.TaskRun]] = {}
+        for run in order.tasks:
+            reason = self._obstacle(owner, order, run)
+            if reason is not None:
+                refused.setdefault(reason, []).append(run)
+                continue
+            task = Task(owner, order.job, run, order.need, order.estimate)
+            self.tasks[task.key()] = task
+            self._spawn(self._launch(task, order.specification))
+        for reason, runs in refused.items():
+            owner.send(messages.Refused(order.job, runs, reason))
+            logger.info(
+                'task refused',
+                extra={
+                    'job': order.job,
+                    'details': {'reason': reason.name, 'tasks': len(runs)},
+                },
+            )
+        self.work.set()
+        self.changed.set()
+
+    def stop(self, job: ids.JobId, indexes: typing.Iterable[int]) -> None:
+        """Stop tasks of a job; unknown ones have ended already."""
+        for index in indexes:
+            task = self.tasks.get((job, index))
+            if task is not None:
+                self.stop_task(task)
+
+    def stop_task(self, task: Task) -> None:
+        """Stop one task; its end is reported when it is certain."""
+        if not task.stopping:
+            task.stopping = True
+            self._spawn(self._stop(task))
+
+    def drop(self, owner: owners.Owner) -> None:
+        """Stop all tasks of an entry that is gone."""
+        tasks = [task for task in self.tasks.values() if task.owner is owner]
+        for task in tasks:
+            self.stop_task(task)
+
+    def holding(self, owner: owners.Owner) -> messages.Holding:
+        """Return the runs that an entry has here."""
+        return messages.Holding(
+            [
+                (task.job, task.run)
+                for task in self.tasks.values()
+                if task.owner is owner
+            ],
+        )
+
+    def observe_heartbeat(self, beat: endpoints.Heartbeat) -> None:
+        """Take over a report unless a later one is known."""
+        known = self.heartbeat
+        if known is not None:
+            if (beat.born, beat.sequence) <= (known.born, known.sequence):
+                return
+        if beat.born > self.born:
+            self._new_life(beat.born, beat.clock)
+        elif beat.born < self.born:
+            return
+        self.heartbeat = beat
+        if known is None or known.state != beat.state:
+            logger.info(
+                'endpoint state',
+                extra={'details': {'state': beat.state, 'born': beat.born}},
+            )
+        self.lease.observe(beat.clock, clocks.now())
+        self.changed.set()
+        self.work.set()
+
+    def apply(
+        self,
+        report: endpoints.Report,
+        asked_at: float,
+        token: int,
+    ) -> None:
+        """Take over what the endpoint lists, in any order of arrival.
+
+        `asked_at` and `token` are those of the request for the report.
+        """
+        now = clocks.now()
+        if report.born < self.born:
+            return
+        if report.born > self.born:
+            self._new_life(report.born, report.clock)
+        self.lease.observe(report.clock, now)
+        by_name = {task.name(): task for task in self.tasks.values()}
+        for ended in report.finished:
+            if ended.number <= self.seen:
+                continue
+            self.seen = ended.number
+            found = by_name.get(ended.task)
+            if found is not None and found.run.run == ended.run:
+                self._ended(found, ended.end, now)
+        present = {(row.task, row.run) for row in report.running}
+        for task in list(self.tasks.values()):
+            there = (task.name(), task.run.run) in present
+            self._compare(task, there, asked_at, token)
+        self._stop_strangers(report, by_name)
+
+    def fail_over(self, now: float) -> None:
+        """Count all runs as lost once the lease has certainly run out."""
+        if self.tasks and self.lease.lapsed(now):
+            for task in list(self.tasks.values()):
+                self._finish(task, messages.Outcome.lost, 'lease ran out')
+
+    def _obstacle(
+        self,
+        owner: owners.Owner,
+        order: messages.StartTasks,
+        run: messages.TaskRun,
+    ) -> messages.Refusal | None:
+        if not self.accepting():
+            return messages.Refusal.not_accepting
+        other = self.tasks.get((order.job, run.index))
+        if other is not None:
+            if other.owner is not owner:
+                self.stop_task(other)
+            return messages.Refusal.conflict
+        free = self.free()
+        if (
+            free.cpu < order.need.cpu
+            or free.memory_mb < order.need.memory_mb
+            or free.gpus < order.need.gpus
+        ):
+            return messages.Refusal.no_room
+        return None
+
+    def _spawn(self, work: typing.Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def _launch(self, task: Task, specification: str) -> None:
+        for _ in range(_START_ATTEMPTS):
+            now = clocks.now()
+            until = self.lease.until(now)
+            if until is None or task.stopping:
+                break
+            task.token = self.lease.token
+            task.started_at = now
+            reply = await self.endpoint.start(
+                task.name(),
+                task.run.run,
+                specification,
+                until=until,
+                token=task.token,
+                limit=_START_LIMIT,
+            )
+            if not self._start_again(task, reply):
+                return
+        self._refuse(task, messages.Refusal.endpoint, 'no start in time')
+
+    def _start_again(self, task: Task, reply: endpoints.Reply) -> bool:
+        if self.tasks.get(task.key()) is not task:
+            return False
+        now = clocks.now()
+        self.lease.observe(reply.clock, now)
+        answer = reply.answer
+        if answer is endpoints.Answer.accepted:
+            task.state = State.running
+            task.listed_from = now
+            return False
+        if answer is endpoints.Answer.unanswered:
+            # The order may still be carried out until a higher token is
+            # known at the endpoint; the next report then decides.
+            task.state = State.unanswered
+            if task.token == self.lease.token:
+                self.lease.raise_token()
+            logger.warning(
+                'start unanswered',
+                extra={
+                    'job': task.job,
+                    'details': {'task': task.run.index, 'token': task.token},
+                },
+            )
+            self.work.set()
+            return False
+        if answer is endpoints.Answer.fenced:
+            self.lease.raise_token(reply.clock)
+            return True
+        if answer is endpoints.Answer.expired:
+            return True
+        self._refuse(task, _REFUSALS[answer], answer.value)
+        return False
+
+    async def _stop(self, task: Task) -> None:
+        began = clocks.now()
+        while self.tasks.get(task.key()) is task:
+            reply = await self.endpoint.stop(
+                task.name(),
+                task.run.run,
+                token=self.lease.token,
+                limit=_STOP_LIMIT,
+            )
+            now = clocks.now()
+            if reply.answer is endpoints.Answer.accepted:
+                task.listed_from = now + self.stop_time + _LIST_MARGIN
+                self.work.set()
+                return
+            if reply.answer is endpoints.Answer.fenced:
+                self.lease.raise_token(reply.clock)
+            elif now - began > _STOP_BUDGET and not self.lease.suspended:
+                # The job may be sent again soon: without an answer only
+                # the end of the lease makes sure that the task is gone.
+                self.lease.suspended = True
+                self.changed.set()
+                logger.warning(
+                    'lease suspended: stop unanswered',
+                    extra={'job': task.job},
+                )
+            await asyncio.sleep(_LIST_MARGIN)
+
+    def _compare(
+        self,
+        task: Task,
+        there: bool,
+        asked_at: float,
+        token: int,
+    ) -> None:
+        if self.tasks.get(task.key()) is not task:
+            return
+        if there:
+            if task.state is not State.running:
+                task.state = State.running
+                task.listed_from = asked_at
+            return
+        if task.listed_from is not None:
+            if asked_at >= task.listed_from:
+                self._finish(task, messages.Outcome.lost, 'not listed')
+        elif task.state is State.unanswered and token > task.token:
+            self._refuse(task, messages.Refusal.endpoint, 'never started')
+
+    def _stop_strangers(
+        self,
+        report: endpoints.Report,
+        by_name: dict[str, Task],
+    ) -> None:
+        strangers = [
+            row
+            for row in report.running
+            if row.task not in by_name or by_name[row.task].run.run != row.run
+        ]
+        if self.clean != (not strangers):
+            self.clean = not strangers
+            self.changed.set()
+        for row in strangers:
+            logger.warning(
+                'stopping a run of an earlier process',
+                extra={'details': {'task': row.task, 'run': row.run}},
+            )
+            self._spawn(self._stop_stranger(row))
+        if self.lease.suspended and not any(
+            task.stopping for task in self.tasks.values()
+        ):
+            self.lease.suspended = False
+            self.changed.set()
+
+    async def _stop_stranger(self, row: endpoints.Running) -> None:
+        await self.endpoint.stop(
+            row.task,
+            row.run,
+            token=self.lease.token,
+            limit=_STOP_LIMIT,
+        )
+
+    def _new_life(self, born: int, clock: int) -> None:
+        logger.info('endpoint started', extra={'details': {'born': born}})
+        for task in list(self.tasks.values()):
+            self._finish(task, messages.Outcome.lost, 'endpoint restarted')
+        if self.born:
+            self.heartbeat = None
+        self.born = born
+        self.seen = 0
+        self.clean = False
+        self.lease.new_life(clock, clocks.now())
+        self.work.set()
+        self.changed.set()
+
+    def _ended(self, task: Task, end: endpoints.End, now: float) -> None:
+        outcome = _OUTCOMES[end]
+        if outcome is messages.Outcome.done:
+            self.slowness.observe(now - task.started_at, task.estimate)
+            self.health.succeeded(task.job)
+        elif outcome is messages.Outcome.failed:
+            if self.health.failed(task.job, now):
+                logger.warning('endpoint ejected', extra={'job': task.job})
+        self._finish(task, outcome, end.value)
+
+    def _finish(
+        self,
+        task: Task,
+        outcome: messages.Outcome,
+        reason: str,
+    ) -> None:
+        self.tasks.pop(task.key(), None)
+        self.changed.set()
+        task.owner.send(messages.Ended(task.job, task.run, outcome))
+        if outcome is not messages.Outcome.done:
+            logger.info(
+                'task ended',
+                extra={
+                    'job': task.job,
+                    'details': {
+                        'task': task.run.index,
+                        'run': task.run.run,
+                        'outcome': outcome.name,
+                        'reason': reason,
+                    },
+                },
+            )
+
+    def _refuse(
+        self,
+        task: Task,
+        reason: messages.Refusal,
+        details: str,
+    ) -> None:
+        if self.tasks.pop(task.key(), None) is None:
+            return
+        self.changed.set()
+        task.owner.send(messages.Refused(task.job, [task.run], reason))
+        logger.info(
+            'start refused',
+            extra={
+                'job': task.job,
+                'details': {'task': task.run.index, 'reason': details},
+            },
+        )
+
+
+_OUTCOMES: typing.Final = {
+    endpoints.End.done: messages.Outcome.done,
+    endpoints.End.failed: messages.Outcome.failed,
+    endpoints.End.stopped: messages.Outcome.stopped,
+    endpoints.End.lapsed: messages.Outcome.lost,
+    endpoints.End.broken: messages.Outcome.lost,
+    endpoints.End.alone: messages.Outcome.lost,
+}
+
+_REFUSALS: typing.Final = {
+    endpoints.Answer.superseded: messages.Refusal.conflict,
+    endpoints.Answer.no_room: messages.Refusal.no_room,
+    endpoints.Answer.unhealthy: messages.Refusal.endpoint,
+    endpoints.Answer.invalid: messages.Refusal.endpoint,
+}
--- /dev/null
+++ b/src/poplardrum/dispatch/fleet.py
@@ -0,0 +1,93 @@
+"""The agents as an entry sees them."""
+
+import collections
+import dataclasses
+import typing
+
+from poplardrum import ids
+from poplardrum.dispatch import messages
+
+_NOTHING: typing.Final = messages.Need(0, 0, 0)
+
+
+@dataclasses.dataclass(eq=False)
+class Agent:
+    """One start of an agent's process.
+
+    `free` is the room that it last reported less what was sent since.
+    """
+
+    node: str
+    zone: str
+    incarnation: ids.Incarnation
+    link: messages.Link | None = None
+    accepting: bool = False
+    free: messages.Need = _NOTHING
+    slowness: float = 1.0
+    labels: list[str] = dataclasses.field(default_factory=list)
+    orders: int = 0
+    in_flight: collections.deque[tuple[int, messages.Need]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def usable(self) -> bool:
+        """Return whether tasks may be sent to it."""
+        return self.accepting and self.link is not None
+
+    def fits(self, need: messages.Need) -> int:
+        """Return how many tasks of a size fit into the free room."""
+        return min(
+            _times(self.free.cpu, need.cpu),
+            _times(self.free.memory_mb, need.memory_mb),
+            _times(self.free.gpus, need.gpus),
+        )
+
+    def ordered(self, need: messages.Need, count: int) -> None:
+        """Count tasks that were sent as room that is taken."""
+        self.orders += 1
+        total = messages.Need(
+            need.cpu * count,
+            need.memory_mb * count,
+            need.gpus * count,
+        )
+        self.in_flight.append((self.orders, total))
+        self.free = _less(self.free, total)
+
+    def report(self, load: messages.Load) -> None:
+        """Take over a load that knows of the first `load.orders` orders."""
+        self.accepting = load.accepting
+        self.slowness = load.slowness
+        self.labels = load.labels
+        while self.in_flight and self.in_flight[0][0] <= load.orders:
+            self.in_flight.popleft()
+        self.free = load.free
+        for _, total in self.in_flight:
+            self.free = _less(self.free, total)
+
+    def connected(self, link: messages.Link) -> None:
+        """Start on a new connection, on which no order was sent yet."""
+        self.link = link
+        self.orders = 0
+        self.in_flight.clear()
+        self.accepting = False
+
+    def disconnected(self) -> None:
+        """Take note of a broken connection."""
+        self.link = None
+        self.accepting = False
+
+
+def _times(room: int, need: int) -> int:
+    # A task that needs none of a resource is bounded by the others.
+    return max(room // need, 0) if need > 0 else _UNBOUNDED
+
+
+_UNBOUNDED: typing.Final = 64
+
+
+def _less(room: messages.Need, taken: messages.Need) -> messages.Need:
+    return messages.Need(
+        room.cpu - taken.cpu,
+        room.memory_mb - taken.memory_mb,
+        room.gpus - taken.gpus,
+    )
--- /dev/null
+++ b/src/poplardrum/dispatch/intake.py
@@ -0,0 +1,219 @@
+"""HTTP requests of callers at an entry."""
+
+import asyncio
+import logging
+import math
+import typing
+
+from aiohttp import web
+
+from poplardrum import errors, ids
+from poplardrum.dispatch import clocks, coordinator, jobs, messages, routes
+from poplardrum.platform import callers, site
+
+logger = logging.getLogger(__name__)
+
+_DEFAULT_PATIENCE: typing.Final = 10.0
+_ANSWER_MARGIN: typing.Final = 0.03
+_MILLISECONDS: typing.Final = 1000
+_WAIT_SHARE: typing.Final = 0.3
+_JSON: typing.Final = 'application/json'
+
+_STATUS: typing.Final = {
+    errors.Code.bad_request: 400,
+    errors.Code.too_large: 413,
+    errors.Code.too_many_tasks: 413,
+    errors.Code.unsupported: 501,
+    errors.Code.unknown_job: 410,
+    errors.Code.no_configuration: 503,
+    errors.Code.unavailable: 503,
+    errors.Code.overload: 503,
+    errors.Code.stopping: 503,
+    errors.Code.key_reused: 504,
+    errors.Code.deadline: 504,
+}
+_ANSWERS: typing.Final = {
+    jobs.Answer.completed: callers.COMPLETED,
+    jobs.Answer.failed: callers.FAILED,
+}
+
+
+class Intake:
+    """Take jobs, wait for their end and answer."""
+
+    def __init__(
+        self,
+        config: site.Site,
+        table: routes.Routes,
+        coordinated: coordinator.Coordinator,
+    ) -> None:
+        """Start ready as soon as configuration and agents are known."""
+        self.config = config
+        self.table = table
+        self.jobs = coordinated
+        self.open_requests = 0
+        self.stop_at = math.inf
+        self.stopping = False
+
+    def stop(self, stop_at: float) -> None:
+        """Take only what can be answered before `stop_at`."""
+        self.stopping = True
+        self.stop_at = stop_at
+
+    async def ready(self, request: web.BaseRequest) -> web.Response:
+        """Answer the balancer."""
+        usable = (
+            not self.stopping
+            and self.table.configuration is not None
+            and any(agent.link for agent in self.jobs.agents.values())
+        )
+        return web.Response(status=200 if usable else 503)
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answer one request of a caller."""
+        self.open_requests += 1
+        arrived = asyncio.get_running_loop().time()
+        try:
+            response = await self._answer(request, arrived)
+        except errors.PoplardrumError as error:
+            response = _refuse(request, error, arrived)
+        finally:
+            self.open_requests -= 1
+        if self.stopping:
+            response.force_close()
+        return response
+
+    async def _answer(
+        self,
+        request: web.BaseRequest,
+        arrived: float,
+    ) -> web.Response:
+        route = self._route(request)
+        job_id = callers.job_id(route, request.path)
+        if request.method != 'POST':
+            return self._other(request, route, job_id)
+        if job_id is None:
+            raise errors.refusal(errors.Code.bad_request, 'malformed id')
+        wanted = callers.decode_submission(await request.read())
+        job = self._job(request, route, job_id, wanted, arrived)
+        self.jobs.submit(job)
+        try:
+            answer = await job.answer
+        finally:
+            self.jobs.finish(job)
+        _log(job, answer.value, arrived)
+        return web.Response(body=_ANSWERS[answer], content_type=_JSON)
+
+    def _route(self, request: web.BaseRequest) -> callers.Route:
+        configuration = self.table.configuration
+        if configuration is None:
+            raise errors.refusal(
+                errors.Code.no_configuration,
+                'no configuration yet',
+                retry_after=1,
+            )
+        host = request.headers.get('Host', '').partition(':')[0]
+        route = configuration.match(host, request.path)
+        if route is not None:
+            return route
+        if not self.table.fresh(self.config.config_bound):
+            raise errors.refusal(
+                errors.Code.unavailable,
+                'route unknown here, and the store cannot be asked',
+                retry_after=1,
+            )
+        raise errors.refusal(errors.Code.unknown_route, 'no such route')
+
+    def _other(
+        self,
+        request: web.BaseRequest,
+        route: callers.Route,
+        job_id: ids.JobId | None,
+    ) -> web.Response:
+        if request.method == 'GET' and request.path == route.prefix:
+            return web.Response(body=b'{"Waiting":0}', content_type=_JSON)
+        raise errors.refusal(errors.Code.unknown_job, 'no such job')
+
+    def _job(
+        self,
+        request: web.BaseRequest,
+        route: callers.Route,
+        job_id: ids.JobId,
+        wanted: callers.Submission,
+        arrived: float,
+    ) -> jobs.Job:
+        step = wanted.steps[0]
+        estimate = step.estimate_ms / _MILLISECONDS
+        patience = callers.patience(request.headers, _DEFAULT_PATIENCE)
+        aim = route.stretch * estimate + route.target_ms / _MILLISECONDS
+        if clocks.now() + aim > self.stop_at:
+            raise errors.refusal(
+                errors.Code.stopping,
+                'this entry is stopping',
+                retry_after=1,
+            )
+        return jobs.Job(
+            id=job_id,
+            queue=route.name,
+            urgency=route.urgency,
+            attempts=max(route.attempts, 1),
+            specification=wanted.specification,
+            need=messages.Need(step.cpu, step.memory_mb, step.gpus),
+            estimate=estimate,
+            tasks=[jobs.Task(index) for index in range(step.count)],
+            arrived=arrived,
+            aim=aim,
+            refuse_at=arrived + _WAIT_SHARE * aim,
+            give_up_at=arrived + patience - _ANSWER_MARGIN,
+            answer=asyncio.get_running_loop().create_future(),
+        )
+
+
+def _refuse(
+    request: web.BaseRequest,
+    error: errors.PoplardrumError,
+    arrived: float,
+) -> web.Response:
+    waited = asyncio.get_running_loop().time() - arrived
+    logger.info(
+        'request refused',
+        extra={
+            'job': request.path.rpartition('/')[2],
+            'details': {
+                'code': error.code.value,
+                'verdict': error.verdict.value,
+                'why': error.message,
+                'after_ms': int(waited * _MILLISECONDS),
+                'headers': dict(request.headers),
+            },
+        },
+    )
+    headers = {}
+    if error.retry_after is not None:
+        headers[callers.RETRY_HEADER] = str(math.ceil(error.retry_after))
+    return web.Response(
+        status=_STATUS.get(error.code, 404),
+        headers=headers,
+        body=b'{}',
+        content_type=_JSON,
+    )
+
+
+def _log(job: jobs.Job, outcome: str, arrived: float) -> None:
+    now = asyncio.get_running_loop().time()
+    logger.info(
+        'job answered',
+        extra={
+            'job': job.id,
+            'details': {
+                'outcome': outcome,
+                'queue': job.queue,
+                'tasks': len(job.tasks),
+                'wait_ms': int((job.started_at - arrived) * _MILLISECONDS),
+                'time_ms': int((now - arrived) * _MILLISECONDS),
+                'aim_ms': int(job.aim * _MILLISECONDS),
+                'estimate_ms': int(job.estimate * _MILLISECONDS),
+                'patience_ms': int((job.give_up_at - arrived) * _MILLISECONDS),
+            },
+        },
+    )
--- /dev/null
+++ b/src/poplardrum/dispatch/lease.py
@@ -0,0 +1,64 @@
+"""Lease on everything that an endpoint runs, and its fencing token."""
+
+import typing
+
+# An endpoint's clock may be this much slower than ours.
+CLOCK_ERROR: typing.Final = 0.02
+_SLACK: typing.Final = 0.05
+_MILLISECONDS: typing.Final = 1000
+
+
+class Lease:
+    """Track the endpoint's clock, the lease's end and the token.
+
+    Times are in seconds on our own steady clock, but for `clock` values and
+    `until`, which are milliseconds on the endpoint's.
+    """
+
+    def __init__(self, length: float) -> None:
+        """Start without a clock; `length` is the longest lease granted."""
+        self.length = length
+        self.offset: float | None = None
+        self.token = 0
+        self.renewed_at = 0.0
+        self.suspended = False
+
+    def new_life(self, clock: int, now: float) -> None:
+        """Start over for an endpoint that knows no lease and no token."""
+        self.offset = None
+        self.token = 0
+        self.suspended = False
+        self.observe(clock, now)
+
+    def observe(self, clock: int, now: float) -> None:
+        """Learn from a clock value that was received at `now`.
+
+        Delays make a value look old, so the highest offset is the truest.
+        Values of the clock are also tokens above those of a predecessor,
+        whose token was such a value of an earlier time.
+        """
+        if not clock:
+            return
+        offset = clock - now * _MILLISECONDS
+        if self.offset is None or offset > self.offset:
+            self.offset = offset
+        if not self.token:
+            self.token = clock
+
+    def raise_token(self, clock: int = 0) -> None:
+        """Make earlier orders void once a later one arrives."""
+        self.token = max(self.token + 1, clock)
+
+    def until(self, now: float) -> int | None:
+        """Return the end of a lease that is renewed now, or `None`."""
+        if self.suspended or self.offset is None:
+            return None
+        self.renewed_at = now
+        return int(now * _MILLISECONDS + self.offset) + int(
+            self.length * _MILLISECONDS,
+        )
+
+    def lapsed(self, now: float) -> bool:
+        """Return whether the last renewal has certainly run out."""
+        longest = self.length * (1 + 2 * CLOCK_ERROR) + _SLACK
+        return now - self.renewed_at > longest
--- /dev/null
+++ b/src/poplardrum/dispatch/lifecycle.py
@@ -0,0 +1,96 @@
+"""Start, stop and background tasks of a process."""
+
+import asyncio
+import contextlib
+import logging
+import os
+import signal
+import typing
+
+from aiohttp import web
+
+from poplardrum import ini
+from poplardrum.dispatch import messages
+
+logger = logging.getLogger(__name__)
+
+_FAULT_EXIT: typing.Final = 70
+_BACKLOG: typing.Final = 1024
+
+Handler = typing.Callable[[web.BaseRequest], typing.Awaitable[web.Response]]
+
+
+def stop_event() -> asyncio.Event:
+    """Return an event that SIGTERM and SIGINT set; ignore SIGHUP.
+
+    Settings files are read again by time, since they also change without
+    a signal.
+    """
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload)
+    return stopping
+
+
+def _reload() -> None:
+    logger.info('settings signalled')
+
+
+def supervise(
+    work: typing.Coroutine[typing.Any, typing.Any, None],
+) -> asyncio.Task[None]:
+    """Run a task that must not end; its fault ends the process."""
+    task = asyncio.ensure_future(work)
+    task.add_done_callback(_end_on_fault)
+    return task
+
+
+def _end_on_fault(task: asyncio.Task[None]) -> None:
+    if task.cancelled():
+        return
+    error = task.exception()
+    if error is not None:
+        logger.critical('background task failed', exc_info=error)
+        # A process without one of its duties is replaced as a whole.
+        os._exit(_FAULT_EXIT)
+
+
+@contextlib.contextmanager
+def keep_alive(
+    link: messages.Link,
+    interval: float,
+) -> typing.Iterator[None]:
+    """Send signs of life on a link that is otherwise idle; close it last."""
+    pinging = asyncio.ensure_future(_ping(link, interval))
+    try:
+        yield
+    finally:
+        pinging.cancel()
+        link.abort()
+
+
+async def _ping(link: messages.Link, interval: float) -> None:
+    while not link.closed:
+        link.ping_if_idle(interval / 2)
+        await asyncio.sleep(interval)
+
+
+async def serve(
+    stack: contextlib.AsyncExitStack,
+    handler: Handler,
+    address: ini.Address,
+) -> None:
+    """Serve HTTP at an address until the stack closes."""
+    server = web.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        tcp_keepalive=False,
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    host, port = address
+    await web.TCPSite(runner, host, port, backlog=_BACKLOG).start()
--- /dev/null
+++ b/src/poplardrum/dispatch/messages.py
@@ -0,0 +1,224 @@
+"""Messages between entries and agents, and their frames."""
+
+import asyncio
+import enum
+import typing
+
+import msgspec
+
+from poplardrum import errors, ids, ini
+
+_LENGTH_BYTES: typing.Final = 4
+MAX_FRAME: typing.Final = 4 * 1024 * 1024
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
+    """Base of all messages."""
+
+
+class AgentHello(Message, frozen=True, tag=1):
+    """First message of an agent; an incarnation is one process start."""
+
+    node: str
+    zone: str
+    incarnation: ids.Incarnation
+
+
+class EntryHello(Message, frozen=True, tag=2):
+    """First message of an entry; a new incarnation knows no older task."""
+
+    node: str
+    incarnation: ids.Incarnation
+
+
+class Entries(Message, frozen=True, tag=3):
+    """Addresses of all entries that the sender knows."""
+
+    addresses: list[ini.Address]
+
+
+class Need(msgspec.Struct, frozen=True, array_like=True):
+    """Room that a task takes; `cpu` is in thousandths of a core."""
+
+    cpu: int
+    memory_mb: int
+    gpus: int
+
+
+class TaskRun(msgspec.Struct, frozen=True, array_like=True):
+    """One task by its position in the job, and the number of this run."""
+
+    index: int
+    run: int
+
+
+class StartTasks(Message, frozen=True, tag=4):
+    """Start tasks of one job; each is answered by `Refused` or `Ended`."""
+
+    job: ids.JobId
+    specification: str
+    need: Need
+    estimate: float
+    tasks: list[TaskRun]
+
+
+class StopTasks(Message, frozen=True, tag=5):
+    """Stop tasks of one job; each is answered by `Ended`."""
+
+    job: ids.JobId
+    tasks: list[int]
+
+
+class Ping(Message, frozen=True, tag=6):
+    """Sign of life when nothing else was sent."""
+
+
+class Refusal(enum.IntEnum):
+    """Why an agent did not start a task."""
+
+    no_room = 1
+    not_accepting = 2
+    conflict = 3
+    endpoint = 4
+
+
+class Refused(Message, frozen=True, tag=7):
+    """Runs that have not started and never will."""
+
+    job: ids.JobId
+    tasks: list[TaskRun]
+    reason: Refusal
+
+
+class Outcome(enum.IntEnum):
+    """How a run that may have started has ended."""
+
+    done = 1
+    failed = 2
+    stopped = 3
+    lost = 4
+
+
+class Ended(Message, frozen=True, tag=8):
+    """End of one run; nothing of it is left at the endpoint."""
+
+    job: ids.JobId
+    task: TaskRun
+    outcome: Outcome
+
+
+class Holding(Message, frozen=True, tag=10):
+    """All runs of an entry at an agent when the two connect again."""
+
+    runs: list[tuple[ids.JobId, TaskRun]]
+
+
+class Load(Message, frozen=True, tag=9):
+    """Room that is free at an endpoint.
+
+    `slowness` is the usual ratio of the real to the estimated time;
+    `orders` counts the `StartTasks` of this connection that it includes.
+    """
+
+    orders: int
+    accepting: bool
+    free: Need
+    slowness: float
+    labels: list[str]
+
+
+AnyMessage = (
+    AgentHello
+    | EntryHello
+    | Entries
+    | StartTasks
+    | StopTasks
+    | Ping
+    | Refused
+    | Ended
+    | Load
+    | Holding
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[AnyMessage])
+
+
+class Link:
+    """One connection to a peer.
+
+    Messages of one turn of the event loop leave in one frame.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Take over a connection."""
+        self.reader = reader
+        self.writer = writer
+        self.pending: list[Message] = []
+        self.sent_at = 0.0
+        self.orders = 0
+        self.closed = False
+
+    def send(self, message: Message) -> None:
+        """Queue a message for the next frame."""
+        if self.closed:
+            return
+        if not self.pending:
+            asyncio.get_running_loop().call_soon(self.flush)
+        self.pending.append(message)
+
+    def flush(self) -> None:
+        """Write the queued messages as one frame.
+
+        A peer that does not read loses its connection, since memory is
+        bounded and its silence ends the work behind it anyway.
+        """
+        if self.closed or not self.pending:
+            return
+        body = _encoder.encode(self.pending)
+        self.pending = []
+        length = len(body).to_bytes(_LENGTH_BYTES, 'big')
+        self.sent_at = asyncio.get_running_loop().time()
+        self.writer.write(length + body)
+        transport = self.writer.transport
+        if transport.get_write_buffer_size() > MAX_FRAME:
+            self.abort()
+
+    async def receive(self, limit: float) -> list[AnyMessage]:
+        """Return the next frame.
+
+        Raise `link_lost` when the peer is silent for `limit` seconds, has
+        closed or sends what cannot be read.
+        """
+        try:
+            async with asyncio.timeout(limit):
+                head = await self.reader.readexactly(_LENGTH_BYTES)
+                length = int.from_bytes(head, 'big')
+                if length > MAX_FRAME:
+                    raise ValueError(f'frame of {length} bytes')
+                body = await self.reader.readexactly(length)
+            return _decoder.decode(body)
+        except TimeoutError:
+            raise _lost(f'silent for {limit:g} s') from None
+        except (EOFError, OSError, ValueError) as error:
+            raise _lost(repr(error)) from None
+
+    def abort(self) -> None:
+        """Close without waiting for queued bytes."""
+        if not self.closed:
+            self.closed = True
+            self.writer.transport.abort()
+
+    def ping_if_idle(self, interval: float) -> None:
+        """Send a sign of life when nothing was sent for `interval`."""
+        now = asyncio.get_running_loop().time()
+        if now - self.sent_at >= interval and not self.pending:
+            self.send(Ping())
+
+
+def _lost(message: str) -> errors.PoplardrumError:
+    return errors.uncertain(errors.Code.link_lost, message)
--- /dev/null
+++ b/src/poplardrum/dispatch/start.py
@@ -0,0 +1,55 @@
+"""Start of a role on the users' platform."""
+
+import asyncio
+import logging
+import os
+import pathlib
+import sys
+import typing
+
+import uvloop
+
+from poplardrum import errors, lines
+from poplardrum.platform import site
+
+ROLES: typing.Final = ('front', 'side')
+_USAGE: typing.Final = 2
+
+logger = logging.getLogger(__name__)
+
+
+def main(arguments: typing.Sequence[str]) -> int:
+    """Run the role that the arguments name; return an exit code."""
+    if len(arguments) != 1 or arguments[0] not in ROLES:
+        roles = '|'.join(ROLES)
+        sys.stderr.write(f'usage: poplardrum.dispatch {roles}\n')
+        return _USAGE
+    lines.configure()
+    path = pathlib.Path(os.environ.get(site.VARIABLE, site.DEFAULT_PATH))
+    try:
+        config = site.load(path)
+    except errors.PoplardrumError as error:
+        logger.critical(error.message)
+        return _USAGE
+    logger.info(
+        'starting',
+        extra={'details': {'role': arguments[0], 'node': config.node}},
+    )
+    # libuv reads this when its first loop starts; hosts allow no io_uring.
+    os.environ['UV_USE_IO_URING'] = '0'
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_role(arguments[0], config))
+    logger.info('stopped')
+    return 0
+
+
+async def _role(role: str, config: site.Site) -> None:
+    # Each role imports only what it needs: memory is paid for.
+    if role == 'front':
+        from poplardrum.dispatch import entry
+
+        await entry.run(config)
+        return
+    from poplardrum.dispatch import agent
+
+    await agent.run(config)
--- /dev/null
+++ b/src/poplardrum/platform/kv.py
@@ -0,0 +1,249 @@
+"""Adapter for the store of the users' platform."""
+
+import asyncio
+import base64
+import typing
+
+import aiohttp
+import msgspec
+
+from poplardrum import errors, ini
+from poplardrum.platform import store
+
+_OK: typing.Final = 200
+_NOT_FOUND: typing.Final = 404
+_COMPACTED: typing.Final = 410
+_CONFLICT: typing.Final = 412
+_MILLISECONDS: typing.Final = 1000
+_WATCH_MARGIN: typing.Final = 0.5
+_MAX_PAGES: typing.Final = 200
+
+Params = dict[str, str]
+
+
+class _Item(msgspec.Struct):
+    key: str = msgspec.field(name='Key')
+    revision: int = msgspec.field(name='Revision')
+    content: str = msgspec.field(default='', name='Value')
+    removed: bool = msgspec.field(default=False, name='Removed')
+
+
+class _Page(msgspec.Struct):
+    revision: int = msgspec.field(name='StoreRevision')
+    items: list[msgspec.Raw] = msgspec.field(default_factory=list)
+    events: list[msgspec.Raw] = msgspec.field(default_factory=list)
+    more: bool = msgspec.field(default=False, name='MorePages')
+
+
+class _Lease(msgspec.Struct):
+    lease: int = msgspec.field(name='Lease')
+
+
+class _Write(msgspec.Struct):
+    key: str = msgspec.field(name='Key')
+    content: str = msgspec.field(name='Value')
+    lease: int = msgspec.field(default=0, name='Lease')
+
+
+class _Condition(msgspec.Struct):
+    key: str = msgspec.field(name='Key')
+    revision: int = msgspec.field(name='Revision')
+
+
+class _Transaction(msgspec.Struct):
+    conditions: list[_Condition] = msgspec.field(name='Expected')
+    writes: list[_Write] = msgspec.field(name='Writes')
+    removals: list[str] = msgspec.field(name='Remove')
+
+
+class KvStore:
+    """Call the store over one pooled HTTP session.
+
+    A watch answers with changes alone, so the values of each prefix that is
+    read with `after` are kept between calls.
+    """
+
+    def __init__(self, address: ini.Address, timeout: float) -> None:
+        """Use `address`; each call ends within `timeout` seconds."""
+        host, port = address
+        self.base = f'http://{host}:{port}'
+        self.timeout = timeout
+        self.session = aiohttp.ClientSession()
+        self.known: dict[str, dict[str, store.StoredValue]] = {}
+
+    async def close(self) -> None:
+        """Close the session."""
+        await self.session.close()
+
+    async def read(
+        self,
+        key: str,
+        *,
+        prefix: bool = False,
+        after: int = 0,
+        wait: float = 0,
+    ) -> store.Snapshot:
+        """Read a key or a prefix; with `after`, wait for a later change."""
+        if after and key in self.known:
+            found = await self._watch(key, after, wait)
+        else:
+            found = None
+        if found is None:
+            found = await self._range(key)
+        if prefix:
+            return found
+        exact = [value for value in found.values if value.key == key]
+        return store.Snapshot(found.index, exact)
+
+    async def write(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expected: int | None = None,
+        lease: store.LeaseId | None = None,
+    ) -> bool:
+        """Write a value, under a condition when a revision is expected."""
+        conditions = []
+        if expected is not None:
+            conditions.append(_Condition(key, expected))
+        content = base64.b64encode(value).decode()
+        write = _Write(key, content, int(lease or 0))
+        status, _ = await self._call(
+            'POST',
+            '/kv-txn',
+            body=_Transaction(conditions, [write], []),
+        )
+        return status == _OK
+
+    async def delete(self, key: str) -> None:
+        """Delete a key; a missing key is no error."""
+        await self._call('POST', '/kv-txn', body=_Transaction([], [], [key]))
+
+    async def grant_lease(self, ttl: float) -> store.LeaseId:
+        """Create a lease of `ttl` seconds."""
+        body = {'TtlMs': int(ttl * _MILLISECONDS)}
+        _, reply = await self._call('POST', '/kv-lease', body=body)
+        granted = _decode(reply, _Lease)
+        return store.LeaseId(str(granted.lease))
+
+    async def renew_lease(self, lease: store.LeaseId) -> bool:
+        """Renew a lease; return `False` when it has ended."""
+        status, _ = await self._call('POST', f'/kv-keep/{lease}')
+        return status == _OK
+
+    async def revoke_lease(self, lease: store.LeaseId) -> None:
+        """End a lease and delete its keys."""
+        await self._call('DELETE', f'/kv-lease-end/{lease}')
+
+    async def _range(self, key: str) -> store.Snapshot:
+        values: dict[str, store.StoredValue] = {}
+        query: Params = {'Prefix': key}
+        revision = 0
+        for _ in range(_MAX_PAGES):
+            _, reply = await self._call('GET', '/kv-range', query)
+            page = _decode(reply, _Page)
+            # Pages are no snapshot: changes since the first are watched.
+            revision = revision or page.revision
+            last = _apply(values, page.items)
+            if not page.more or last is None:
+                break
+            query['After'] = last
+        self.known[key] = values
+        return store.Snapshot(revision, list(values.values()))
+
+    async def _watch(
+        self,
+        key: str,
+        after: int,
+        wait: float,
+    ) -> store.Snapshot | None:
+        status, reply = await self._call(
+            'GET',
+            '/kv-watch',
+            {
+                'Prefix': key,
+                'After': str(after),
+                'WaitMs': str(int(wait * _MILLISECONDS)),
+            },
+            limit=wait + _WATCH_MARGIN,
+        )
+        if status == _COMPACTED:
+            return None
+        page = _decode(reply, _Page)
+        values = self.known[key]
+        _apply(values, page.events)
+        return store.Snapshot(page.revision, list(values.values()))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: Params | None = None,
+        *,
+        body: object = None,
+        limit: float | None = None,
+    ) -> tuple[int, bytes]:
+        wrote = method != 'GET'
+        headers = {'Content-Type': 'application/json'}
+        try:
+            async with self.session.request(
+                method,
+                self.base + path,
+                params=query,
+                data=None if body is None else msgspec.json.encode(body),
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=limit or self.timeout),
+            ) as response:
+                reply = await response.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError, OSError) as error:
+            sent = not isinstance(error, aiohttp.ClientConnectorError)
+            raise store.failure(
+                f'platform: {method} {path}: {error!r}',
+                wrote=wrote and sent,
+            ) from None
+        if response.status not in {_OK, _NOT_FOUND, _COMPACTED, _CONFLICT}:
+            raise store.failure(
+                f'platform: {method} {path}: status {response.status}',
+                wrote=False,
+            )
+        return response.status, reply
+
+
+def _apply(
+    values: dict[str, store.StoredValue],
+    rows: list[msgspec.Raw],
+) -> str | None:
+    """Apply items or events; return the last key.
+
+    Entries of other writers that cannot be read name nothing and are left
+    out alone.
+    """
+    last = None
+    for row in rows:
+        try:
+            item = msgspec.json.decode(row, type=_Item)
+            content = base64.b64decode(item.content, validate=True)
+        except ValueError:
+            continue
+        last = item.key
+        if item.removed:
+            values.pop(item.key, None)
+        else:
+            values[item.key] = store.StoredValue(
+                item.key, content, item.revision
+            )
+    return last
+
+
+_Reply = typing.TypeVar('_Reply')
+
+
+def _decode(reply: bytes, kind: type[_Reply]) -> _Reply:
+    try:
+        return msgspec.json.decode(reply, type=kind)
+    except ValueError as error:
+        raise errors.uncertain(
+            errors.Code.platform,
+            f'platform: unreadable answer: {error}',
+        ) from None
