--- /dev/null
+++ b/tests/test_dispatch_executor.py
@@ -0,0 +1,242 @@
+"""Tasks of an agent under faults of its endpoint."""
+
+import asyncio
+import typing
+import unittest
+
+from poplardrum.dispatch import messages
+from tests import dispatch_world
+
+
+class ExecutorCase(unittest.IsolatedAsyncioTestCase):
+    """Common set-up: an executor that knows its endpoint."""
+
+    duration = 0.05
+
+    async def asyncSetUp(self) -> None:
+        """Start the executor."""
+        self.world = dispatch_world.World(self.duration)
+        await self.world.begin()
+        self.addAsyncCleanup(self.world.end)
+
+    async def settled(self, count: int) -> None:
+        """Wait until the entry knows the end of `count` runs."""
+        await dispatch_world.until(
+            lambda: len(self.world.outcomes()) + self.world.refused() >= count
+        )
+
+
+class TestCapacity(ExecutorCase):
+    """The agent is the sole judge of the endpoint's room."""
+
+    async def test_more_than_fits_is_refused_at_once(self) -> None:
+        """Guards against starts beyond the capacity."""
+        self.world.order(6)
+        await self.settled(6)
+        self.assertEqual(self.world.refused(), 2)
+        self.assertEqual(self.world.endpoint.world.most_running, 4)
+
+    async def test_stopping_task_takes_room_until_listed(self) -> None:
+        """Guards against room given away before a stop has worked."""
+        self.world.endpoint.always['stop'] = 'lost'
+        self.world.order(4)
+        await dispatch_world.until(
+            lambda: len(self.world.endpoint.world.running) == 4
+        )
+        self.world.runs.stop(dispatch_world.JOB, range(4))
+        self.assertEqual(self.world.runs.free().cpu, 0)
+
+    async def test_draining_endpoint_gets_no_task(self) -> None:
+        """Guards against new work for an endpoint that leaves."""
+        self.world.beat('draining')
+        self.world.order(1)
+        self.assertEqual(
+            self.world.link.of(messages.Refused)[0].reason,
+            messages.Refusal.not_accepting,
+        )
+
+
+class TestLostOrders(ExecutorCase):
+    """Orders without an answer, carried out at once, late or never."""
+
+    async def outcome_of(self, fault: str) -> None:
+        """Start one task under a fault and wait for its end."""
+        self.world.endpoint.faults['start'] = [fault]
+        self.world.order(1)
+        await self.settled(1)
+
+    async def test_answer_lost(self) -> None:
+        """Guards against a second start of a task that runs."""
+        await self.outcome_of('silent')
+        self.assertEqual(self.world.outcomes(), [messages.Outcome.done])
+
+    async def test_order_lost(self) -> None:
+        """Guards against waiting for a run that never was."""
+        await self.outcome_of('lost')
+        self.assertEqual(self.world.refused(), 1)
+
+    async def test_order_late(self) -> None:
+        """Guards against a run that starts after it was denied."""
+        await self.outcome_of('late')
+        self.assertEqual(self.world.refused(), 1)
+        self.world.endpoint.deliver_late()
+        self.assertEqual(self.world.endpoint.world.starts, [])
+
+    async def test_stop_before_late_start(self) -> None:
+        """Guards against a stopped task that starts afterwards."""
+        self.world.endpoint.faults['start'] = ['late']
+        self.world.order(1)
+        await asyncio.sleep(0)
+        self.world.runs.stop(dispatch_world.JOB, [0])
+        await self.settled(1)
+        self.world.endpoint.deliver_late()
+        self.assertEqual(self.world.endpoint.world.starts, [])
+
+
+class TestStops(ExecutorCase):
+    """Stops and the end of the lease."""
+
+    duration = 30.0
+
+    async def test_stop(self) -> None:
+        """Guards against a task that runs on after its job is over."""
+        self.world.order(2)
+        await dispatch_world.until(
+            lambda: len(self.world.endpoint.world.running) == 2
+        )
+        self.world.runs.stop(dispatch_world.JOB, [0, 1])
+        await self.settled(2)
+        self.assertEqual(
+            self.world.outcomes(),
+            [messages.Outcome.stopped] * 2,
+        )
+
+    async def test_unanswered_stop_ends_with_the_lease(self) -> None:
+        """Guards against renewing the lease of what cannot be stopped."""
+        self.world.order(1)
+        await dispatch_world.until(
+            lambda: self.world.endpoint.world.running
+        )
+        self.world.endpoint.always['stop'] = 'lost'
+        self.world.runs.stop(dispatch_world.JOB, [0])
+        await self.settled(1)
+        self.assertEqual(self.world.endpoint.world.running, {})
+        self.assertEqual(self.world.outcomes(), [messages.Outcome.lost])
+        await dispatch_world.until(self.world.runs.accepting)
+
+    async def test_lease_is_renewed(self) -> None:
+        """Guards against tasks that lapse although their agent lives."""
+        self.world.order(1)
+        await asyncio.sleep(1.5 * dispatch_world.LEASE)
+        self.assertEqual(len(self.world.endpoint.world.running), 1)
+
+    async def test_entry_that_is_gone_loses_its_tasks(self) -> None:
+        """Guards against work for an entry whose callers ask elsewhere."""
+        self.world.order(2)
+        await dispatch_world.until(
+            lambda: len(self.world.endpoint.world.running) == 2
+        )
+        self.world.runs.drop(self.world.owner)
+        await dispatch_world.until(
+            lambda: not self.world.endpoint.world.running
+        )
+
+    async def test_task_sent_again_by_another_entry(self) -> None:
+        """Guards against two runs of a task that was sent twice."""
+        self.world.order(1)
+        await dispatch_world.until(
+            lambda: self.world.endpoint.world.running
+        )
+        other, link = self.world.entry('front-2')
+        self.world.order(1, owner=other)
+        self.assertEqual(
+            link.of(messages.Refused)[0].reason,
+            messages.Refusal.conflict,
+        )
+        await dispatch_world.until(
+            lambda: not self.world.endpoint.world.running
+        )
+
+
+class TestEndpointLives(ExecutorCase):
+    """Crashes and restarts of the endpoint and of the agent."""
+
+    duration = 30.0
+
+    async def test_restart_under_the_same_name(self) -> None:
+        """Guards against waiting for runs of an earlier life."""
+        self.world.order(1)
+        await dispatch_world.until(
+            lambda: self.world.endpoint.world.running
+        )
+        self._restart()
+        await self.settled(1)
+        self.assertEqual(self.world.outcomes(), [messages.Outcome.lost])
+        self.world.beat('ready')
+        await dispatch_world.until(self.world.runs.accepting)
+        self.world.order(1, run=2)
+        await dispatch_world.until(
+            lambda: self.world.endpoint.world.running
+        )
+
+    async def test_late_heartbeat_of_an_earlier_life(self) -> None:
+        """Guards against a late report that hides the present life."""
+        self._restart()
+        self.world.beat('ready')
+        await dispatch_world.until(self.world.runs.accepting)
+        self.world.endpoint.born = 1
+        self.world.beat('draining')
+        self.assertTrue(self.world.runs.accepting())
+
+    async def test_silent_endpoint(self) -> None:
+        """Guards against tasks that are held for an endpoint that died."""
+        self.world.order(1)
+        await dispatch_world.until(
+            lambda: self.world.endpoint.world.running
+        )
+        self.world.endpoint.down = True
+        await self.settled(1)
+        self.assertEqual(self.world.outcomes(), [messages.Outcome.lost])
+        self.assertFalse(self.world.runs.accepting())
+
+    async def test_runs_of_an_earlier_agent_are_stopped_first(self) -> None:
+        """Guards against a second run beside one of a killed agent."""
+        self.world.order(2)
+        await dispatch_world.until(
+            lambda: len(self.world.endpoint.world.running) == 2
+        )
+        await self.world.end()
+        second = dispatch_world.World(self.duration)
+        second.endpoint = self.world.endpoint
+        second.runs.endpoint = typing.cast(typing.Any, second.endpoint)
+        self.addAsyncCleanup(second.end)
+        await second.begin()
+        self.assertEqual(second.endpoint.world.running, {})
+        self.assertGreaterEqual(
+            second.runs.lease.token,
+            self.world.runs.lease.token,
+        )
+
+    def _restart(self) -> None:
+        old = self.world.endpoint
+        old.world = type(old.world)(dispatch_world.LEASE)
+        old.born += 1
+
+
+class TestHealth(ExecutorCase):
+    """Endpoints that fail what they start."""
+
+    async def test_failing_endpoint_is_ejected(self) -> None:
+        """Guards against feeding an endpoint that fails everything."""
+        self.world.endpoint.good = False
+        for number in range(3):
+            self.world.order(1, job=typing.cast(typing.Any, f'{number:016x}'))
+        await self.settled(3)
+        self.assertFalse(self.world.runs.accepting())
+
+    async def test_poison_job_does_not_eject(self) -> None:
+        """Guards against blaming an endpoint for one bad job."""
+        self.world.endpoint.good = False
+        self.world.order(4)
+        await self.settled(4)
+        self.assertTrue(self.world.runs.accepting())
