--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -5,7 +5,7 @@
 import typing
 
 from poplardrum import errors, ids
-from poplardrum.dispatch import fleet, jobs, messages, placement
+from poplardrum.dispatch import admission, fleet, jobs, messages, placement
 
 logger = logging.getLogger(__name__)
 
@@ -13,6 +13,7 @@
 # lost: its silence and resume times, its stops, and the endpoint's lease.
 SAFE: typing.Final = 2.3
 _REFUSED_AGAIN: typing.Final = 0.02
+_FASTEST: typing.Final = 0.05
 
 
 class Coordinator:
@@ -34,6 +35,7 @@
             )
         self.jobs[job.id] = job
         loop = asyncio.get_running_loop()
+        loop.call_at(job.last_resort_at, self.wake)
         loop.call_at(job.refuse_at, self._refuse_waiting, job)
         loop.call_at(job.give_up_at, self._give_up, job)
         self.wake()
@@ -82,13 +84,16 @@
     def _pump(self) -> None:
         self.pumping = False
         waiting = [job for job in self.jobs.values() if job.waiting()]
-        waiting.sort(key=_order)
+        now = asyncio.get_running_loop().time()
+        fastest = admission.fastest(self.agents.values())
+        waiting.sort(key=lambda job: _order(job, now, fastest))
         for job in waiting:
             if not self._place(job):
                 break
 
     def _place(self, job: jobs.Job) -> bool:
         """Place what fits; return whether all tasks are placed."""
+        now = asyncio.get_running_loop().time()
         tasks = job.waiting()
         avoided: set[str] = set()
         for task in tasks:
@@ -99,6 +104,10 @@
             len(tasks),
             self.zone,
             avoided,
+            job.tolerated(now),
+            last_resort=not job.predicted
+            or job.started
+            or now >= job.last_resort_at,
         )
         for agent, count in picks:
             self._send(job, agent, tasks[:count])
@@ -113,12 +122,15 @@
     ) -> None:
         if agent.link is None:
             return
+        now = asyncio.get_running_loop().time()
         for task in tasks:
             task.phase = jobs.Phase.placed
             task.run += 1
             task.agent = agent
+            task.placed_at = now
         if not job.started:
-            job.started_at = asyncio.get_running_loop().time()
+            job.started_at = now
+        job.placed_at = now
         job.started = True
         agent.ordered(job.need, len(tasks))
         agent.link.send(
@@ -151,6 +163,8 @@
         job, task = found
         if ended.outcome is messages.Outcome.done:
             task.phase = jobs.Phase.done
+            now = asyncio.get_running_loop().time()
+            task.work = (now - task.placed_at) / max(agent.slowness, _FASTEST)
             if all(each.phase is jobs.Phase.done for each in job.tasks):
                 _answer(job, jobs.Answer.completed)
             return
@@ -243,9 +257,19 @@
             )
 
 
-def _order(job: jobs.Job) -> tuple[bool, float]:
-    # Jobs that hold room already go first, then those whose time runs out.
-    return not job.started, job.refuse_at
+def _order(
+    job: jobs.Job,
+    now: float,
+    fastest: float,
+) -> tuple[bool, bool, float]:
+    """Rank jobs for the room that is free.
+
+    Jobs that can no longer end within their aim get what the others leave.
+    Of the others those that hold room already go first, then those whose
+    time runs out.
+    """
+    in_time = not job.predicted or job.tolerated(now) >= fastest
+    return not in_time, not job.started, job.latest_start(fastest)
 
 
 def _answer(job: jobs.Job, answer: jobs.Answer) -> None:
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -103,11 +103,16 @@
             and self.health.room(clocks.now(), len(self.tasks))
         )
 
-    def free(self) -> messages.Need:
-        """Return the room that no run takes, probable runs included."""
+    def capacity(self) -> messages.Need:
+        """Return the room of the endpoint when it runs nothing."""
         if self.heartbeat is None:
             return messages.Need(0, 0, 0)
         room = self.heartbeat.capacity
+        return messages.Need(room.cpu, room.memory_mb, room.gpus)
+
+    def free(self) -> messages.Need:
+        """Return the room that no run takes, probable runs included."""
+        room = self.capacity()
         needs = [task.need for task in self.tasks.values()]
         return messages.Need(
             room.cpu - sum(need.cpu for need in needs),
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -23,6 +23,7 @@
     link: messages.Link | None = None
     accepting: bool = False
     free: messages.Need = _NOTHING
+    capacity: messages.Need = _NOTHING
     slowness: float = 1.0
     labels: list[str] = dataclasses.field(default_factory=list)
     orders: int = 0
@@ -58,6 +59,7 @@
         self.accepting = load.accepting
         self.slowness = load.slowness
         self.labels = load.labels
+        self.capacity = load.capacity
         while self.in_flight and self.in_flight[0][0] <= load.orders:
             self.in_flight.popleft()
         self.free = load.free
--- a/src/poplardrum/dispatch/health.py
+++ b/src/poplardrum/dispatch/health.py
@@ -7,6 +7,7 @@
 from poplardrum import ids
 
 _MIN_JOBS: typing.Final = 3
+_ROW: typing.Final = 2
 _FIRST_PAUSE: typing.Final = 0.5
 _LONGEST_PAUSE: typing.Final = 4.0
 _WINDOW: typing.Final = 12
@@ -40,12 +41,12 @@
         """Take note of a failed task; return whether this ejects."""
         if (job, False) not in self.results:
             self.results.append((job, False))
+        if now < self.ejected_until:
+            return False
         failures = sum(not good for _, good in self.results)
-        if self.pause:
-            self._eject(now)
-            return True
         enough = failures >= _MIN_JOBS
-        if enough and failures >= _FAILED_SHARE * len(self.results):
+        share = failures >= _FAILED_SHARE * len(self.results)
+        if self.pause or self._in_a_row() or (enough and share):
             self._eject(now)
             return True
         return False
@@ -56,6 +57,10 @@
             return False
         return not self.pause or running == 0
 
+    def _in_a_row(self) -> bool:
+        latest = list(self.results)[-_ROW:]
+        return len(latest) == _ROW and not any(good for _, good in latest)
+
     def _eject(self, now: float) -> None:
         self.pause = min(max(2 * self.pause, _FIRST_PAUSE), _LONGEST_PAUSE)
         self.ejected_until = now + self.pause
--- a/src/poplardrum/dispatch/intake.py
+++ b/src/poplardrum/dispatch/intake.py
@@ -8,7 +8,15 @@
 from aiohttp import web
 
 from poplardrum import errors, ids
-from poplardrum.dispatch import clocks, coordinator, jobs, messages, routes
+from poplardrum.dispatch import (
+    admission,
+    clocks,
+    coordinator,
+    estimates,
+    jobs,
+    messages,
+    routes,
+)
 from poplardrum.platform import callers, site
 
 logger = logging.getLogger(__name__)
@@ -16,7 +24,9 @@
 _DEFAULT_PATIENCE: typing.Final = 10.0
 _ANSWER_MARGIN: typing.Final = 0.03
 _MILLISECONDS: typing.Final = 1000
-_WAIT_SHARE: typing.Final = 0.3
+# A process that has just started does not know the fleet yet.
+_START_UP: typing.Final = 2.5
+_MAX_QUEUES: typing.Final = 256
 _JSON: typing.Final = 'application/json'
 
 _STATUS: typing.Final = {
@@ -52,6 +62,9 @@
         self.table = table
         self.jobs = coordinated
         self.open_requests = 0
+        self.began = clocks.now()
+        self.most_usable = 0
+        self.predictors: dict[str, estimates.WorkPredictor] = {}
         self.stop_at = math.inf
         self.stopping = False
 
@@ -101,6 +114,12 @@
             answer = await job.answer
         finally:
             self.jobs.finish(job)
+        if answer is jobs.Answer.completed and job.ran_once():
+            self._predictor(job.queue).learn(
+                job.estimate,
+                job.patience,
+                [task.work for task in job.tasks],
+            )
         _log(job, answer.value, arrived)
         return web.Response(body=_ANSWERS[answer], content_type=_JSON)
 
@@ -145,7 +164,10 @@
         step = wanted.steps[0]
         estimate = step.estimate_ms / _MILLISECONDS
         patience = callers.patience(request.headers, _DEFAULT_PATIENCE)
-        aim = route.stretch * estimate + route.target_ms / _MILLISECONDS
+        predictor = self._predictor(route.name)
+        work = predictor.predict(estimate, patience)
+        nominal = work * predictor.scale()
+        aim = route.stretch * nominal + route.target_ms / _MILLISECONDS
         if clocks.now() + aim > self.stop_at:
             raise errors.refusal(
                 errors.Code.stopping,
@@ -160,14 +182,44 @@
             specification=wanted.specification,
             need=messages.Need(step.cpu, step.memory_mb, step.gpus),
             estimate=estimate,
+            patience=patience,
+            work=work,
+            predicted=predictor.known(),
             tasks=[jobs.Task(index) for index in range(step.count)],
             arrived=arrived,
             aim=aim,
-            refuse_at=arrived + _WAIT_SHARE * aim,
+            refuse_at=arrived + self._longest_wait(aim, work, patience),
             give_up_at=arrived + patience - _ANSWER_MARGIN,
             answer=asyncio.get_running_loop().create_future(),
         )
 
+    def _predictor(self, queue: str) -> estimates.WorkPredictor:
+        found = self.predictors.get(queue)
+        if found is None:
+            if len(self.predictors) >= _MAX_QUEUES:
+                self.predictors.clear()
+            found = estimates.WorkPredictor()
+            self.predictors[queue] = found
+        return found
+
+    def _longest_wait(
+        self,
+        aim: float,
+        work: float,
+        patience: float,
+    ) -> float:
+        agents = self.jobs.agents.values()
+        usable = sum(agent.usable() for agent in agents)
+        self.most_usable = max(self.most_usable, usable)
+        starting = clocks.now() - self.began < _START_UP
+        return admission.longest_wait(
+            aim,
+            work,
+            patience,
+            admission.fastest(agents),
+            starting or admission.recovering(agents, self.most_usable),
+        )
+
 
 def _refuse(
     request: web.BaseRequest,
@@ -212,6 +264,11 @@
                 'wait_ms': int((job.started_at - arrived) * _MILLISECONDS),
                 'time_ms': int((now - arrived) * _MILLISECONDS),
                 'aim_ms': int(job.aim * _MILLISECONDS),
+                'work_ms': int(job.work * _MILLISECONDS),
+                'real_ms': int(
+                    max(task.work for task in job.tasks) * _MILLISECONDS
+                ),
+                'placed_ms': int((job.placed_at - arrived) * _MILLISECONDS),
                 'estimate_ms': int(job.estimate * _MILLISECONDS),
                 'patience_ms': int((job.give_up_at - arrived) * _MILLISECONDS),
             },
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -114,7 +114,7 @@
 
 
 class Load(Message, frozen=True, tag=9):
-    """Room that is free at an endpoint.
+    """Room that is free at an endpoint, of its capacity.
 
     `slowness` is the usual ratio of the real to the estimated time;
     `orders` counts the `StartTasks` of this connection that it includes.
@@ -123,6 +123,7 @@
     orders: int
     accepting: bool
     free: Need
+    capacity: Need
     slowness: float
     labels: list[str]
 
--- a/src/poplardrum/dispatch/placement.py
+++ b/src/poplardrum/dispatch/placement.py
@@ -6,6 +6,9 @@
 
 Pick = tuple[fleet.Agent, int]
 _SLOWNESS_STEP: typing.Final = 0.15
+# Below this share of free room at the fast endpoints, jobs with time to
+# spare leave them to those without.
+_SCARCE: typing.Final = 0.35
 
 
 def choose(
@@ -14,24 +17,55 @@
     count: int,
     zone: str,
     avoided: typing.AbstractSet[str],
+    tolerated: float = 0,
+    *,
+    last_resort: bool = True,
 ) -> list[Pick]:
-    """Return agents and task counts, fastest endpoints first.
+    """Return agents and task counts.
+
+    `tolerated` is the slowness up to which the job still ends in time.
+    While fast endpoints have room, jobs go to the fastest. When it is
+    scarce, a job goes to the slowest endpoints that it tolerates, so that
+    long jobs, which tolerate less, find the fast ones free. Endpoints that
+    it does not tolerate are used as a last resort only.
 
     Among endpoints of like speed the own zone goes first, since bytes
     between zones are paid for, then the one with the most room. Endpoints
     in `avoided` are used only when no other has room at all.
     """
-    usable = [(agent, agent.fits(need)) for agent in agents if agent.usable()]
-    usable = [(agent, fits) for agent, fits in usable if fits > 0]
-    preferred = [pick for pick in usable if pick[0].node not in avoided]
-    ranked = sorted(
-        preferred or usable,
-        key=lambda pick: (
-            round(pick[0].slowness / _SLOWNESS_STEP),
-            pick[0].zone != zone,
-            -pick[1],
-        ),
-    )
+    usable = [agent for agent in agents if agent.usable()]
+    scarce = fast_room(usable) < _SCARCE
+    fitting = [(agent, agent.fits(need)) for agent in usable]
+    fitting = [pick for pick in fitting if pick[1] > 0]
+    preferred = [pick for pick in fitting if pick[0].node not in avoided]
+    if not last_resort:
+        preferred = [
+            pick
+            for pick in preferred or fitting
+            if pick[0].slowness <= tolerated
+        ]
+        fitting = preferred
+
+    def rank(pick: Pick) -> tuple[float, bool, int]:
+        agent, fits = pick
+        speed = round(agent.slowness / _SLOWNESS_STEP)
+        if scarce and agent.slowness <= tolerated:
+            speed = -speed
+        return speed, agent.zone != zone, -fits
+
+    return _take(sorted(preferred or fitting, key=rank), count)
+
+
+def fast_room(agents: typing.Sequence[fleet.Agent]) -> float:
+    """Return the free share of the faster half of the endpoints."""
+    ranked = sorted(agents, key=_slowness)
+    fast = ranked[: (len(ranked) + 1) // 2]
+    room = sum(agent.capacity.cpu for agent in fast)
+    free = sum(max(agent.free.cpu, 0) for agent in fast)
+    return free / room if room else 1.0
+
+
+def _take(ranked: list[Pick], count: int) -> list[Pick]:
     picks = []
     for agent, fits in ranked:
         if count <= 0:
@@ -40,3 +74,7 @@
         picks.append((agent, taken))
         count -= taken
     return picks
+
+
+def _slowness(agent: fleet.Agent) -> float:
+    return agent.slowness
--- a/src/poplardrum/dispatch/watching.py
+++ b/src/poplardrum/dispatch/watching.py
@@ -126,6 +126,7 @@
             link.orders,
             runs.accepting(),
             runs.free(),
+            runs.capacity(),
             round(runs.slowness.value(), 2),
             beat.labels if beat else [],
         )
--- a/src/poplardrum/standins/leased.py
+++ b/src/poplardrum/standins/leased.py
@@ -136,7 +136,7 @@
         return True
 
     def _end(self, name: Name, how: str) -> None:
-        del self.running[name]
+        self.running.pop(name)
         self.highest[name.task] = max(
             self.highest.get(name.task, 0),
             name.run,
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -108,9 +108,7 @@
         )
         if answer is None:
             return endpoints.Reply(endpoints.Answer.unanswered)
-        kind = (
-            endpoints.Answer.accepted if answer else endpoints.Answer.fenced
-        )
+        kind = endpoints.Answer.accepted if answer else endpoints.Answer.fenced
         return endpoints.Reply(kind, self.clock(), self.born)
 
     async def hold(
@@ -270,9 +268,7 @@
 
     def refused(self) -> int:
         """Return the number of refused runs."""
-        return sum(
-            len(each.tasks) for each in self.link.of(messages.Refused)
-        )
+        return sum(len(each.tasks) for each in self.link.of(messages.Refused))
 
 
 async def until(condition: typing.Callable[[], object]) -> None:
--- a/tests/test_dispatch_executor.py
+++ b/tests/test_dispatch_executor.py
@@ -114,9 +114,7 @@
     async def test_unanswered_stop_ends_with_the_lease(self) -> None:
         """Guards against renewing the lease of what cannot be stopped."""
         self.world.order(1)
-        await dispatch_world.until(
-            lambda: self.world.endpoint.world.running
-        )
+        await dispatch_world.until(lambda: self.world.endpoint.world.running)
         self.world.endpoint.always['stop'] = 'lost'
         self.world.runs.stop(dispatch_world.JOB, [0])
         await self.settled(1)
@@ -144,9 +142,7 @@
     async def test_task_sent_again_by_another_entry(self) -> None:
         """Guards against two runs of a task that was sent twice."""
         self.world.order(1)
-        await dispatch_world.until(
-            lambda: self.world.endpoint.world.running
-        )
+        await dispatch_world.until(lambda: self.world.endpoint.world.running)
         other, link = self.world.entry('front-2')
         self.world.order(1, owner=other)
         self.assertEqual(
@@ -166,18 +162,14 @@
     async def test_restart_under_the_same_name(self) -> None:
         """Guards against waiting for runs of an earlier life."""
         self.world.order(1)
-        await dispatch_world.until(
-            lambda: self.world.endpoint.world.running
-        )
+        await dispatch_world.until(lambda: self.world.endpoint.world.running)
         self._restart()
         await self.settled(1)
         self.assertEqual(self.world.outcomes(), [messages.Outcome.lost])
         self.world.beat('ready')
         await dispatch_world.until(self.world.runs.accepting)
         self.world.order(1, run=2)
-        await dispatch_world.until(
-            lambda: self.world.endpoint.world.running
-        )
+        await dispatch_world.until(lambda: self.world.endpoint.world.running)
 
     async def test_late_heartbeat_of_an_earlier_life(self) -> None:
         """Guards against a late report that hides the present life."""
@@ -191,9 +183,7 @@
     async def test_silent_endpoint(self) -> None:
         """Guards against tasks that are held for an endpoint that died."""
         self.world.order(1)
-        await dispatch_world.until(
-            lambda: self.world.endpoint.world.running
-        )
+        await dispatch_world.until(lambda: self.world.endpoint.world.running)
         self.world.endpoint.down = True
         await self.settled(1)
         self.assertEqual(self.world.outcomes(), [messages.Outcome.lost])
