Resume a lease whose last unanswered stop outlives its task

The answer of a stop came after the task's end was listed, suspended the lease, and without tasks no report was asked for that resumes it: the agent never accepted again. Ruled out: load alone, since a gate that delays the answer shows it each time.

Change: an answer for a task that has ended changes nothing; a suspended lease is watched until it is resumed. Reports to more than five entries are paced by their number, own zone first, and an entry counts the room of its own ended tasks at once; a waiting job no longer holds up those behind it.

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -31,7 +31,6 @@
 _FIRST_PAUSE: typing.Final = 0.1
 _LONGEST_PAUSE: typing.Final = 1.0
 _ENDPOINT_CONNECTIONS: typing.Final = 24
-_REPORT_PAUSE: typing.Final = 0.004
 _EXIT_MARGIN: typing.Final = 0.6
 _ENTRIES_READ: typing.Final = 2.0
 
@@ -47,7 +46,7 @@
         self.owners: dict[ids.Incarnation, owners.Owner] = {}
         self.links: set[messages.Link] = set()
         self.peers: dict[ini.Address, asyncio.Task[None]] = {}
-        self.reporter = watching.Reporter(runs, self.links)
+        self.reporter = watching.Reporter(runs, self.links, config.zone)
 
     def know(self, addresses: typing.Iterable[ini.Address]) -> None:
         """Connect to entries that are new."""
@@ -116,6 +115,7 @@
                 other.incarnation != first.incarnation
             ):
                 self._forget(other)
+        link.zone = first.zone
         owner = self.owners.get(first.incarnation)
         if owner is None:
             owner = owners.Owner(first.node, first.incarnation)
@@ -233,7 +233,7 @@
         await lifecycle.serve(stack, registry_handler(runs), config.registry)
         for work in (
             watching.Watch(runs).run(),
-            agent.reporter.run(_REPORT_PAUSE),
+            agent.reporter.run(),
             _find_entries(agent, stored, config),
         ):
             stack.callback(lifecycle.supervise(work).cancel)
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -24,6 +24,8 @@
         self.zone = zone
         self.agents: dict[ids.Incarnation, fleet.Agent] = {}
         self.jobs: dict[ids.JobId, jobs.Job] = {}
+        # Jobs that may have tasks to place.
+        self.queue: dict[ids.JobId, jobs.Job] = {}
         self.pumping = False
 
     def submit(self, job: jobs.Job) -> None:
@@ -34,6 +36,7 @@
                 'the job is running here already',
             )
         self.jobs[job.id] = job
+        self.queue[job.id] = job
         loop = asyncio.get_running_loop()
         loop.call_at(job.last_resort_at, self.wake)
         loop.call_at(job.refuse_at, self._refuse_waiting, job)
@@ -45,6 +48,7 @@
         if self.jobs.get(job.id) is not job:
             return
         self.jobs.pop(job.id)
+        self.queue.pop(job.id, None)
         stops: dict[fleet.Agent, list[int]] = {}
         for task in job.placed():
             if task.agent is not None:
@@ -77,19 +81,21 @@
 
     def wake(self) -> None:
         """Place waiting tasks in the next turn of the event loop."""
-        if not self.pumping:
+        if self.queue and not self.pumping:
             self.pumping = True
             asyncio.get_running_loop().call_soon(self._pump)
 
     def _pump(self) -> None:
         self.pumping = False
-        waiting = [job for job in self.jobs.values() if job.waiting()]
+        waiting = [job for job in self.queue.values() if job.waiting()]
+        self.queue = {job.id: job for job in waiting}
         now = asyncio.get_running_loop().time()
         fastest = admission.fastest(self.agents.values())
         waiting.sort(key=lambda job: _order(job, now, fastest))
         for job in waiting:
-            if not self._place(job):
-                break
+            # A job that waits for a fast endpoint does not hold up others.
+            if self._place(job):
+                self.queue.pop(job.id)
 
     def _place(self, job: jobs.Job) -> bool:
         """Place what fits; return whether all tasks are placed."""
@@ -98,17 +104,14 @@
         avoided: set[str] = set()
         for task in tasks:
             avoided |= task.avoided
-        picks = placement.choose(
-            self.agents.values(),
+        wish = placement.Wish(
             job.need,
             len(tasks),
-            self.zone,
             avoided,
             job.tolerated(now),
-            last_resort=not job.predicted
-            or job.started
-            or now >= job.last_resort_at,
+            not job.predicted or job.started or now >= job.last_resort_at,
         )
+        picks = placement.choose(self.agents.values(), wish, self.zone)
         for agent, count in picks:
             self._send(job, agent, tasks[:count])
             tasks = tasks[count:]
@@ -161,6 +164,7 @@
         if found is None:
             return
         job, task = found
+        agent.ended(job.need)
         if ended.outcome is messages.Outcome.done:
             task.phase = jobs.Phase.done
             now = asyncio.get_running_loop().time()
@@ -168,7 +172,7 @@
             if all(each.phase is jobs.Phase.done for each in job.tasks):
                 _answer(job, jobs.Answer.completed)
             return
-        task.phase = jobs.Phase.waiting
+        self._requeue(job, task)
         if ended.outcome is messages.Outcome.failed:
             task.failures += 1
             task.avoided.add(agent.node)
@@ -182,8 +186,8 @@
             found = self._find(agent, refused.job, run)
             if found is None:
                 continue
-            _, task = found
-            task.phase = jobs.Phase.waiting
+            job, task = found
+            self._requeue(job, task)
             if refused.reason is not messages.Refusal.no_room:
                 task.avoided.add(agent.node)
         loop = asyncio.get_running_loop()
@@ -196,12 +200,16 @@
             if key in runs:
                 runs.discard(key)
             else:
-                task.phase = jobs.Phase.waiting
+                self._requeue(job, task)
         if agent.link is not None:
             for job_id, index, _ in runs:
                 agent.link.send(messages.StopTasks(job_id, [index]))
         self.wake()
 
+    def _requeue(self, job: jobs.Job, task: jobs.Task) -> None:
+        task.phase = jobs.Phase.waiting
+        self.queue[job.id] = job
+
     def _placed_at(
         self,
         agent: fleet.Agent,
@@ -235,8 +243,8 @@
             return
         if self.agents.pop(agent.incarnation, None) is None:
             return
-        for _, task in self._placed_at(agent):
-            task.phase = jobs.Phase.waiting
+        for job, task in self._placed_at(agent):
+            self._requeue(job, task)
             task.avoided.add(agent.node)
         self.wake()
 
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -50,7 +50,9 @@
     ) -> None:
         """Serve one agent until its connection ends."""
         link = messages.Link(reader, writer)
-        link.send(messages.EntryHello(self.node, self.incarnation))
+        link.send(
+            messages.EntryHello(self.node, self.jobs.zone, self.incarnation)
+        )
         with lifecycle.keep_alive(link, agent.PING):
             try:
                 await self._converse(link)
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -14,7 +14,7 @@
 
 _START_LIMIT: typing.Final = 0.3
 _STOP_LIMIT: typing.Final = 0.1
-_STOP_BUDGET: typing.Final = 0.25
+STOP_BUDGET: typing.Final = 0.25
 _START_ATTEMPTS: typing.Final = 3
 _LIST_MARGIN: typing.Final = 0.03
 
@@ -318,13 +318,15 @@
                 limit=_STOP_LIMIT,
             )
             now = clocks.now()
+            if self.tasks.get(task.key()) is not task:
+                return
             if reply.answer is endpoints.Answer.accepted:
                 task.listed_from = now + self.stop_time + _LIST_MARGIN
                 self.work.set()
                 return
             if reply.answer is endpoints.Answer.fenced:
                 self.lease.raise_token(reply.clock)
-            elif now - began > _STOP_BUDGET and not self.lease.suspended:
+            elif now - began > STOP_BUDGET and not self.lease.suspended:
                 # The job may be sent again soon: without an answer only
                 # the end of the lease makes sure that the task is gone.
                 self.lease.suspended = True
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -54,6 +54,13 @@
         self.in_flight.append((self.orders, total))
         self.free = _less(self.free, total)
 
+    def ended(self, need: messages.Need) -> None:
+        """Count the room of a task that ended until the next report."""
+        self.free = _less(
+            self.free,
+            messages.Need(-need.cpu, -need.memory_mb, -need.gpus),
+        )
+
     def report(self, load: messages.Load) -> None:
         """Take over a load that knows of the first `load.orders` orders."""
         self.accepting = load.accepting
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -28,6 +28,7 @@
     """First message of an entry; a new incarnation knows no older task."""
 
     node: str
+    zone: str
     incarnation: ids.Incarnation
 
 
@@ -162,6 +163,8 @@
         self.pending: list[Message] = []
         self.sent_at = 0.0
         self.orders = 0
+        self.zone = ''
+        self.reported_at = 0.0
         self.closed = False
 
     def send(self, message: Message) -> None:
--- a/src/poplardrum/dispatch/placement.py
+++ b/src/poplardrum/dispatch/placement.py
@@ -4,6 +4,21 @@
 
 from poplardrum.dispatch import fleet, messages
 
+
+class Wish(typing.NamedTuple):
+    """What a job needs now.
+
+    `tolerated` is the slowness up to which it still ends in time; endpoints
+    in `avoided` have failed it.
+    """
+
+    need: messages.Need
+    tasks: int
+    avoided: typing.AbstractSet[str] = frozenset()
+    tolerated: float = 0
+    last_resort: bool = True
+
+
 Pick = tuple[fleet.Agent, int]
 _SLOWNESS_STEP: typing.Final = 0.15
 # Below this share of free room at the fast endpoints, jobs with time to
@@ -13,17 +28,11 @@
 
 def choose(
     agents: typing.Iterable[fleet.Agent],
-    need: messages.Need,
-    count: int,
+    wish: Wish,
     zone: str,
-    avoided: typing.AbstractSet[str],
-    tolerated: float = 0,
-    *,
-    last_resort: bool = True,
 ) -> list[Pick]:
-    """Return agents and task counts.
+    """Return agents and task counts for what a job wishes.
 
-    `tolerated` is the slowness up to which the job still ends in time.
     While fast endpoints have room, jobs go to the fastest. When it is
     scarce, a job goes to the slowest endpoints that it tolerates, so that
     long jobs, which tolerate less, find the fast ones free. Endpoints that
@@ -35,25 +44,25 @@
     """
     usable = [agent for agent in agents if agent.usable()]
     scarce = fast_room(usable) < _SCARCE
-    fitting = [(agent, agent.fits(need)) for agent in usable]
+    fitting = [(agent, agent.fits(wish.need)) for agent in usable]
     fitting = [pick for pick in fitting if pick[1] > 0]
-    preferred = [pick for pick in fitting if pick[0].node not in avoided]
-    if not last_resort:
+    preferred = [pick for pick in fitting if pick[0].node not in wish.avoided]
+    if not wish.last_resort:
         preferred = [
             pick
             for pick in preferred or fitting
-            if pick[0].slowness <= tolerated
+            if pick[0].slowness <= wish.tolerated
         ]
         fitting = preferred
 
     def rank(pick: Pick) -> tuple[float, bool, int]:
         agent, fits = pick
         speed = round(agent.slowness / _SLOWNESS_STEP)
-        if scarce and agent.slowness <= tolerated:
+        if scarce and agent.slowness <= wish.tolerated:
             speed = -speed
         return speed, agent.zone != zone, -fits
 
-    return _take(sorted(preferred or fitting, key=rank), count)
+    return _take(sorted(preferred or fitting, key=rank), wish.tasks)
 
 
 def fast_room(agents: typing.Sequence[fleet.Agent]) -> float:
--- a/src/poplardrum/dispatch/watching.py
+++ b/src/poplardrum/dispatch/watching.py
@@ -15,6 +15,12 @@
 _RETRY: typing.Final = 0.05
 _UNREACHABLE: typing.Final = 0.5
 _IDLE: typing.Final = 1.0
+_STEP: typing.Final = 0.004
+# Up to this many entries are told each change; of more, each is told after
+# a pause, in seconds, that grows with their number.
+_FEW: typing.Final = 5
+_NEAR: typing.Final = 0.0015
+_FAR: typing.Final = 0.008
 
 
 class Watch:
@@ -38,7 +44,8 @@
         runs = self.runs
         if runs.heartbeat is None:
             return False
-        return bool(runs.tasks) or not runs.clean or not runs.reachable
+        healthy = runs.clean and runs.reachable and not runs.lease.suspended
+        return bool(runs.tasks) or not healthy
 
     async def _ask(self) -> None:
         runs = self.runs
@@ -95,28 +102,53 @@
 
 
 class Reporter:
-    """Send the endpoint's load to all entries when it changes."""
+    """Send the endpoint's load to all entries when it changes.
+
+    An entry gets a report for each of its own ends in any case, so others
+    need not hear of each change: with many entries, those of other zones
+    are told less often, which bounds the reports that an entry receives.
+    """
 
     def __init__(
         self,
         runs: executor.Executor,
         links: set[messages.Link],
+        zone: str,
     ) -> None:
-        """Report to `links`."""
+        """Report to `links` from an agent in `zone`."""
         self.runs = runs
         self.links = links
+        self.zone = zone
+        self.accepting = False
 
-    async def run(self, pause: float) -> None:
-        """Report at most every `pause` seconds; also once a second."""
+    async def run(self) -> None:
+        """Report until cancelled."""
         while True:
             # An ejection ends by time alone.
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(_IDLE):
                     await self.runs.changed.wait()
             self.runs.changed.clear()
-            for link in self.links:
+            self._report(clocks.now())
+            crowd = len(self.links) if len(self.links) > _FEW else 0
+            await asyncio.sleep(_STEP + crowd * _NEAR)
+
+    def _report(self, now: float) -> None:
+        accepting = self.runs.accepting()
+        urgent = accepting != self.accepting
+        self.accepting = accepting
+        for link in self.links:
+            if urgent or now - link.reported_at >= self._pause(link):
+                link.reported_at = now
                 link.send(self.load(link))
-            await asyncio.sleep(pause)
+            else:
+                self.runs.changed.set()
+
+    def _pause(self, link: messages.Link) -> float:
+        count = len(self.links)
+        if count <= _FEW:
+            return 0
+        return count * (_NEAR if link.zone == self.zone else _FAR)
 
     def load(self, link: messages.Link) -> messages.Load:
         """Return the present load for the entry at a link."""
--- a/tests/test_dispatch_executor.py
+++ b/tests/test_dispatch_executor.py
@@ -4,7 +4,8 @@
 import typing
 import unittest
 
-from poplardrum.dispatch import messages
+from poplardrum.dispatch import executor, messages
+from poplardrum.platform import endpoints
 from tests import dispatch_world
 
 
@@ -154,6 +155,34 @@
         )
 
 
+class TestStopThatOutlivesItsTask(ExecutorCase):
+    """A stop that is still waiting for its answer when the task ends."""
+
+    duration = 0.1
+
+    async def test_lease_goes_on(self) -> None:
+        """Guards against an agent that never accepts again.
+
+        The lost answer came after the last report and suspended the lease,
+        and without tasks nobody asked for a report that resumes it.
+        """
+        gate = asyncio.Event()
+
+        async def stop(*_: object, **__: object) -> endpoints.Reply:
+            await gate.wait()
+            return endpoints.Reply(endpoints.Answer.unanswered)
+
+        self.world.endpoint.stop = stop  # type: ignore[method-assign]
+        self.world.order(1)
+        await dispatch_world.until(lambda: self.world.endpoint.world.running)
+        self.world.runs.stop(dispatch_world.JOB, [0])
+        await self.settled(1)
+        await asyncio.sleep(executor.STOP_BUDGET)
+        gate.set()
+        await asyncio.sleep(0)
+        await dispatch_world.until(self.world.runs.accepting)
+
+
 class TestEndpointLives(ExecutorCase):
     """Crashes and restarts of the endpoint and of the agent."""
 
