Start nothing for a job whose answer is decided

Ruled out: a late order of the agent, since the entry's log shows the order after the refusal was decided.

Change: jobs with an answer are not placed.

--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -87,7 +87,13 @@
 
     def _pump(self) -> None:
         self.pumping = False
-        waiting = [job for job in self.queue.values() if job.waiting()]
+        # A refusal that is decided must stay true until it is sent, so a
+        # job with an answer starts nothing more.
+        waiting = [
+            job
+            for job in self.queue.values()
+            if not job.answer.done() and job.waiting()
+        ]
         self.queue = {job.id: job for job in waiting}
         now = asyncio.get_running_loop().time()
         fastest = admission.fastest(self.agents.values())
--- a/src/poplardrum/dispatch/routes.py
+++ b/src/poplardrum/dispatch/routes.py
@@ -71,7 +71,9 @@
                 pause = min(2 * pause, _LONGEST_PAUSE)
                 continue
             pause = _FIRST_PAUSE
-            index = found.index
+            # Each other read is a plain one, so that a watch that missed a
+            # change cannot hide it for long.
+            index = 0 if index else found.index
             self._confirmed()
             for entry in found.values:
                 self.offer(entry.value)
--- /dev/null
+++ b/src/poplardrum/standins/kv.py
@@ -0,0 +1,209 @@
+"""Stand-in for the users' store, with switches for its troubles."""
+
+import asyncio
+import dataclasses
+import enum
+import time
+import typing
+
+from aiohttp import web
+
+_POLL: typing.Final = 0.01
+_MILLISECONDS: typing.Final = 1000
+
+Handler = typing.Callable[[web.Request], typing.Awaitable[web.Response]]
+
+
+class Trouble(enum.Enum):
+    """What the store does to calls."""
+
+    none = 'none'
+    silent = 'silent'
+    busy = 'busy'
+    reset = 'reset'
+    answer_lost = 'answer_lost'
+    deaf = 'deaf'
+
+
+@dataclasses.dataclass
+class Item:
+    """One stored item."""
+
+    text: str
+    revision: int
+    created: int
+    lease: int
+
+
+class KvStandIn:
+    """Items, leases and history of a store."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.items: dict[str, Item] = {}
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.revision = 1
+        self.compacted = 0
+        self.history: list[dict[str, typing.Any]] = []
+        self.trouble = Trouble.none
+        self.calls = 0
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        for method, path, handler in (
+            ('GET', '/kv-range', self._range),
+            ('GET', '/kv-watch', self._watch),
+            ('POST', '/kv-txn', self._transact),
+            ('POST', '/kv-lease', self._grant),
+            ('POST', '/kv-keep/{lease}', self._keep),
+            ('DELETE', '/kv-lease-end/{lease}', self._end),
+        ):
+            app.router.add_route(method, path, self._troubled(handler))
+        return app
+
+    def put(self, key: str, text: str, lease: int = 0) -> int:
+        """Write one item as another writer would; `text` is base64."""
+        self.revision += 1
+        before = self.items.get(key)
+        created = before.created if before else self.revision
+        self.items[key] = Item(text, self.revision, created, lease)
+        self.history.append(self._shown(key))
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove one item."""
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.history.append(
+                {'Key': key, 'Revision': self.revision, 'Removed': True},
+            )
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.history.clear()
+        self.compacted = self.revision
+
+    def _shown(self, key: str) -> dict[str, typing.Any]:
+        item = self.items[key]
+        return {
+            'Key': key,
+            'Value': item.text,
+            'Revision': item.revision,
+            'Created': item.created,
+            'Lease': item.lease,
+        }
+
+    def _troubled(self, handler: Handler) -> Handler:
+        async def handle(request: web.Request) -> web.Response:
+            self.calls += 1
+            self._expire()
+            if self.trouble is Trouble.silent:
+                await asyncio.Event().wait()
+            if self.trouble is Trouble.busy:
+                return web.Response(status=503)
+            if self.trouble is Trouble.reset:
+                self._reset(request)
+            response = await handler(request)
+            lost = self.trouble is Trouble.answer_lost
+            if lost and request.method != 'GET':
+                self._reset(request)
+            return response
+
+        return handle
+
+    def _reset(self, request: web.Request) -> None:
+        if request.transport is not None:
+            request.transport.abort()
+
+    async def _range(self, request: web.Request) -> web.Response:
+        prefix = request.query['Prefix']
+        after = request.query.get('After', '')
+        found = [
+            self._shown(key)
+            for key in sorted(self.items)
+            if key.startswith(prefix) and key > after
+        ]
+        return web.json_response(
+            {
+                'items': found[:_PAGE],
+                'MorePages': len(found) > _PAGE,
+                'StoreRevision': self.revision,
+            },
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        prefix = request.query['Prefix']
+        after = int(request.query['After'])
+        if after < self.compacted:
+            return web.Response(status=410)
+        limit = int(request.query['WaitMs']) / _MILLISECONDS
+        deadline = time.monotonic() + limit
+        found: list[dict[str, typing.Any]] = []
+        while not found and time.monotonic() < deadline:
+            if self.trouble is Trouble.deaf:
+                await self._hear_nothing(request)
+            found = [
+                event
+                for event in self.history
+                if event['Revision'] > after and event['Key'].startswith(prefix)
+            ]
+            if not found:
+                await asyncio.sleep(_POLL)
+        return web.json_response(
+            {'events': found, 'StoreRevision': self.revision},
+        )
+
+    async def _hear_nothing(self, request: web.Request) -> None:
+        while self.trouble is Trouble.deaf:
+            await asyncio.sleep(_POLL)
+        self._reset(request)
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        for row in body['Expected']:
+            item = self.items.get(row['Key'])
+            if (item.revision if item else 0) != row['Revision']:
+                return web.json_response({'items': []}, status=412)
+        for row in body['Writes']:
+            if row['Lease'] and row['Lease'] not in self.leases:
+                return web.Response(status=404)
+        for row in body['Writes']:
+            self.put(row['Key'], row['Value'], row['Lease'])
+        for key in body['Remove']:
+            self.remove(key)
+        return web.json_response({'Revision': self.revision})
+
+    async def _grant(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.revision += 1
+        ttl = body['TtlMs'] / _MILLISECONDS
+        self.leases[self.revision] = (time.monotonic() + ttl, ttl)
+        return web.json_response(
+            {'Lease': self.revision, 'TtlMs': body['TtlMs']},
+        )
+
+    async def _keep(self, request: web.Request) -> web.Response:
+        lease = int(request.match_info['lease'])
+        if lease not in self.leases:
+            return web.Response(status=404)
+        _, ttl = self.leases[lease]
+        self.leases[lease] = (time.monotonic() + ttl, ttl)
+        return web.json_response({'TtlMs': ttl * _MILLISECONDS})
+
+    async def _end(self, request: web.Request) -> web.Response:
+        self.leases.pop(int(request.match_info['lease']), None)
+        self._expire()
+        return web.Response()
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for lease, (ends_at, _) in list(self.leases.items()):
+            if ends_at < now:
+                self.leases.pop(lease)
+        for key, item in list(self.items.items()):
+            if item.lease and item.lease not in self.leases:
+                self.remove(key)
+
+
+_PAGE: typing.Final = 500
--- /dev/null
+++ b/src/poplardrum/standins/site.py
@@ -0,0 +1,219 @@
+"""A whole system on loopback: real processes between stand-ins.
+
+Each host has a loopback address of its own, since all hosts of a site use
+the same ports.
+"""
+
+import asyncio
+import base64
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import typing
+
+from aiohttp import web
+
+from poplardrum import ini
+from poplardrum.standins import kv, ports, worker
+
+_SOURCE: typing.Final = pathlib.Path(__file__).resolve().parents[2]
+_ROUTE_HOST: typing.Final = 'jobs.example'
+_ROUTE_PREFIX: typing.Final = '/jobs/'
+_CONFIG_KEY: typing.Final = 'op/config'
+_END: typing.Final = 10.0
+
+
+class Host:
+    """One process of the system and its settings."""
+
+    def __init__(self, role: str, settings: dict[str, typing.Any]) -> None:
+        """Prepare a process of a role."""
+        self.role = role
+        self.settings = settings
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self, folder: pathlib.Path) -> None:
+        """Start the process; its log is appended to a file."""
+        name = self.settings['NodeName']
+        path = folder / f'{name}.json'
+        path.write_text(json.dumps(self.settings))
+        with (folder / f'{name}.log').open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'poplardrum.dispatch', self.role],
+                env={
+                    'PATH': os.environ.get('PATH', ''),
+                    'PYTHONPATH': str(_SOURCE),
+                    'POPLARDRUM_SETTINGS': str(path),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to a living process."""
+        if self.alive() and self.process is not None:
+            self.process.send_signal(number)
+
+    def alive(self) -> bool:
+        """Return whether the process runs."""
+        return self.process is not None and self.process.poll() is None
+
+    async def end(self) -> None:
+        """Kill the process and wait for its end."""
+        if self.process is None:
+            return
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        await asyncio.to_thread(self.process.wait, _END)
+
+
+class LocalSite:
+    """Store, endpoints, entries and agents on one machine."""
+
+    def __init__(
+        self,
+        entries: int,
+        agents: int,
+        kind: worker.Kind,
+        first_host: int = 10,
+    ) -> None:
+        """Prepare hosts; `first_host` keeps sites on one machine apart."""
+        self.entries: list[Host] = []
+        self.agents: list[Host] = []
+        self.workers: list[worker.WorkerStandIn] = []
+        self.store = kv.KvStandIn()
+        found = ports.free_ports(5)
+        self.front, self.ready, self.control, self.peers, self.app = found
+        self.store_address = ('127.0.0.1', ports.free_ports(1)[0])
+        self.stack = contextlib.AsyncExitStack()
+        self.folder = pathlib.Path()
+        self.number = 0
+        addresses = [
+            f'127.0.0.{first_host + place}' for place in range(entries + agents)
+        ]
+        self.seeds = [f'{ip}:{self.control}' for ip in addresses[:entries]]
+        for ip in addresses[:entries]:
+            self.entries.append(Host('front', self._settings('front', ip)))
+        for ip in addresses[entries:]:
+            settings = self._settings('side', ip)
+            settings['app'] = f'{ip}:{self.app}'
+            self.agents.append(Host('side', settings))
+            self.workers.append(
+                worker.WorkerStandIn(f'i-{ip}', (ip, self.control), kind),
+            )
+
+    async def __aenter__(self) -> typing.Self:
+        """Start everything."""
+        self.folder = pathlib.Path(
+            self.stack.enter_context(tempfile.TemporaryDirectory()),
+        )
+        await self._serve(self.store.application(), self.store_address)
+        self.configure()
+        for stand_in in self.workers:
+            ip = stand_in.registry[0]
+            await self._serve(stand_in.application(), (ip, self.app))
+            beating = asyncio.ensure_future(stand_in.beat())
+            self.stack.callback(beating.cancel)
+        for host in (*self.entries, *self.agents):
+            host.start(self.folder)
+            self.stack.push_async_callback(host.end)
+        return self
+
+    async def __aexit__(self, *_details: object) -> None:
+        """End everything that was started."""
+        await self.stack.aclose()
+
+    def configure(self, prefix: str = _ROUTE_PREFIX) -> int:
+        """Write the next configuration and return its number."""
+        self.number += 1
+        document = {
+            'Version': self.number,
+            'Routes': [
+                {
+                    'Name': 'r-1',
+                    'Host': _ROUTE_HOST,
+                    'Prefix': prefix,
+                    'Service': 'intake',
+                    'MaxAttempts': 3,
+                    'Stretch': 1.6,
+                    'TargetLatencyMs': 60,
+                },
+            ],
+        }
+        text = base64.b64encode(json.dumps(document).encode()).decode()
+        self.store.put(_CONFIG_KEY, text)
+        return self.number
+
+    def url(self, entry: int, path: str) -> str:
+        """Return the address of a path at an entry, by its place."""
+        ip = self.entries[entry].settings['IpAddress']
+        return f'http://{ip}:{self.front}{path}'
+
+    def ready_url(self, entry: int) -> str:
+        """Return the readiness address of an entry, by its place."""
+        ip = self.entries[entry].settings['IpAddress']
+        return f'http://{ip}:{self.ready}/readiness'
+
+    def log(self, host: Host) -> list[dict[str, typing.Any]]:
+        """Return the log lines of a host."""
+        path = self.folder / f'{host.settings["NodeName"]}.log'
+        return [
+            json.loads(line)
+            for line in path.read_text().splitlines()
+            if line.startswith('{')
+        ]
+
+    def _settings(self, role: str, ip: str) -> dict[str, typing.Any]:
+        listen = {'Control': f'{ip}:{self.control}'}
+        if role == 'front':
+            listen['Front'] = f'{ip}:{self.front}'
+            listen['Ready'] = f'{ip}:{self.ready}'
+        host, port = self.store_address
+        return {
+            'NodeName': f'{role}-{ip}',
+            'IpAddress': ip,
+            'Zone': 'toledo',
+            'ListenAddresses': listen,
+            'InternalPorts': [self.peers, self.peers],
+            'SeedNodes': self.seeds,
+            'Bounds': {'GraceS': 6, 'MaxHoldMs': 1000},
+            'platform': {'Address': f'{host}:{port}'},
+        }
+
+    async def _serve(
+        self,
+        application: web.Application,
+        address: ini.Address,
+    ) -> None:
+        runner = web.AppRunner(
+            application,
+            access_log=None,
+            shutdown_timeout=0.1,
+        )
+        await runner.setup()
+        self.stack.push_async_callback(runner.cleanup)
+        await web.TCPSite(runner, *address).start()
+
+
+def submission(tasks: int, specification: str) -> dict[str, typing.Any]:
+    """Return the body of a job of one step that is not stored."""
+    return {
+        'Specification': specification,
+        'BestEffort': True,
+        'Steps': [
+            {
+                'Count': tasks,
+                'Cpu': 1000,
+                'RequestedMemoryMb': 64,
+                'EstimatedMs': 50,
+            },
+        ],
+    }
+
+
+ROUTE_HEADERS: typing.Final = {'Host': _ROUTE_HOST}
--- /dev/null
+++ b/src/poplardrum/standins/worker.py
@@ -0,0 +1,142 @@
+"""Stand-in for an endpoint under a lease, over HTTP."""
+
+import asyncio
+import contextlib
+import dataclasses
+import time
+import typing
+
+import aiohttp
+from aiohttp import web
+
+from poplardrum import ini
+from poplardrum.standins import leased
+
+_POLL: typing.Final = 0.005
+_BEAT: typing.Final = 0.5
+_MILLISECONDS: typing.Final = 1000
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """What an endpoint is like; times in seconds."""
+
+    cpu: int = 8000
+    duration: float = 0.05
+    lease: float = 1.0
+
+
+class WorkerStandIn:
+    """Serve a `LeasedEndpoint` and send its heartbeats."""
+
+    def __init__(self, name: str, registry: ini.Address, kind: Kind) -> None:
+        """Send heartbeats to the agent at `registry`."""
+        self.name = name
+        self.registry = registry
+        self.kind = kind
+        self.world = leased.LeasedEndpoint(kind.lease)
+        self.born = int(time.time() * _MILLISECONDS)
+        self.state = 'ready'
+        self.sequence = 0
+        self.specifications: set[str] = set()
+
+    def application(self) -> web.Application:
+        """Return the HTTP application."""
+        app = web.Application()
+        app.router.add_post('/run-start', self._start)
+        app.router.add_post('/run-stop', self._stop)
+        app.router.add_post('/hold', self._hold)
+        return app
+
+    def restart(self) -> None:
+        """Crash and come back under the same name, knowing nothing."""
+        self.world = leased.LeasedEndpoint(self.kind.lease)
+        self.born = int(time.time() * _MILLISECONDS)
+        self.sequence = 0
+
+    async def beat(self) -> None:
+        """Send heartbeats until cancelled."""
+        host, port = self.registry
+        url = f'http://{host}:{port}/instances/{self.name}'
+        timeout = aiohttp.ClientTimeout(total=1)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    async with session.put(url, json=self._report()):
+                        pass
+                await asyncio.sleep(_BEAT)
+
+    def _report(self) -> dict[str, typing.Any]:
+        self.sequence += 1
+        return {
+            'Service': 'intake',
+            'State': self.state,
+            'Sequence': self.sequence,
+            'Capacity': {'Cpu': self.kind.cpu, 'RequestedMemoryMb': 65536},
+            'ClockMs': self._clock(),
+            'born': self.born,
+        }
+
+    def _clock(self) -> int:
+        return int(time.monotonic() * _MILLISECONDS)
+
+    async def _start(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        now = time.monotonic()
+        self.specifications.add(order['Specification'])
+        found = self.world.start(
+            leased.Name(order['Task'], order['Run']),
+            leased.Run(order['Specification'], now + self.kind.duration),
+            now=now,
+            until=order['UntilMs'] / _MILLISECONDS,
+            token=order['FencingToken'],
+        )
+        if found is leased.Start.accepted:
+            return self._answer({})
+        return self._answer({'Reason': found.value}, status=409)
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if self.world.stop(
+            leased.Name(order['Task'], order['Run']),
+            now=time.monotonic(),
+            token=order['FencingToken'],
+        ):
+            return self._answer({})
+        return self._answer({'Reason': 'fence'}, status=409)
+
+    async def _hold(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        until = order.get('UntilMs')
+        world = self.world
+        if not world.hold(
+            now=time.monotonic(),
+            token=order['FencingToken'],
+            seen=order['LastSeen'],
+            until=None if until is None else until / _MILLISECONDS,
+        ):
+            return self._answer({'Reason': 'fence'}, status=409)
+        wait = order.get('WaitMs', 0) / _MILLISECONDS
+        stop_at = time.monotonic() + wait
+        while time.monotonic() < stop_at and not world.listed():
+            await asyncio.sleep(_POLL)
+            world.advance(time.monotonic())
+        return self._answer(
+            {
+                'Running': [
+                    [name.task, name.run, '', 50] for name in world.running
+                ],
+                'Finished': [
+                    [end.number, end.name.task, end.name.run, end.how, '']
+                    for end in world.listed()
+                ],
+            },
+        )
+
+    def _answer(
+        self,
+        body: dict[str, typing.Any],
+        status: int = 200,
+    ) -> web.Response:
+        known = {'ClockMs': self._clock(), 'born': self.born}
+        return web.json_response(known | body, status=status)
--- a/tests/test_dispatch_executor.py
+++ b/tests/test_dispatch_executor.py
@@ -168,7 +168,7 @@
         """
         gate = asyncio.Event()
 
-        async def stop(*_: object, **__: object) -> endpoints.Reply:
+        async def stop(*_args: object, **_options: object) -> endpoints.Reply:
             await gate.wait()
             return endpoints.Reply(endpoints.Answer.unanswered)
 
