Recall the endpoint's room from the store when an agent starts again

Cause: after all processes were killed agents waited for a heartbeat, up to 1.5 s, while requests were refused for want of room. Ruled out: the start of the process itself (0.3 to 0.5 s) as the larger part.

Change: agents keep the last heartbeat's facts in the store, written when they change; a new process uses them if a report of the endpoint names the same life, and for 1.8 s at most without a heartbeat. The executor is split into tasks, vitals and executor.

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -12,6 +12,7 @@
 from poplardrum.dispatch import (
     clocks,
     executor,
+    facts,
     lifecycle,
     membership,
     messages,
@@ -180,6 +181,15 @@
     return handle
 
 
+async def _recall(
+    runs: executor.Executor,
+    stored: kv.KvStore,
+    node: str,
+) -> None:
+    runs.recall(await facts.recall(stored, node))
+    await facts.keep(stored, node, runs.vitals)
+
+
 async def _find_entries(
     agent: Agent,
     stored: kv.KvStore,
@@ -235,6 +245,7 @@
             watching.Watch(runs).run(),
             agent.reporter.run(),
             _find_entries(agent, stored, config),
+            _recall(runs, stored, config.node),
         ):
             stack.callback(lifecycle.supervise(work).cancel)
         await stopping.wait()
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -1,14 +1,20 @@
 """Tasks of an agent's endpoint: starts, stops, lease and ends."""
 
 import asyncio
-import dataclasses
-import enum
 import logging
 import typing
 
 from poplardrum import ids
-from poplardrum.dispatch import clocks, health, lease, messages, owners
-from poplardrum.platform import callers, endpoints
+from poplardrum.dispatch import (
+    clocks,
+    health,
+    lease,
+    messages,
+    owners,
+    tasks,
+    vitals,
+)
+from poplardrum.platform import endpoints
 
 logger = logging.getLogger(__name__)
 
@@ -17,44 +23,8 @@
 STOP_BUDGET: typing.Final = 0.25
 _START_ATTEMPTS: typing.Final = 3
 _LIST_MARGIN: typing.Final = 0.03
-
-Key = tuple[ids.JobId, int]
-
-
-class State(enum.Enum):
-    """State of a run at the endpoint."""
-
-    starting = 'starting'
-    unanswered = 'unanswered'
-    running = 'running'
-
-
-@dataclasses.dataclass
-class Task:
-    """One run that takes room at the endpoint.
-
-    `listed_from`: reports asked for from this time on list the run if it
-    is there. `token` is that of its last start order.
-    """
-
-    owner: owners.Owner
-    job: ids.JobId
-    run: messages.TaskRun
-    need: messages.Need
-    estimate: float
-    state: State = State.starting
-    stopping: bool = False
-    token: int = 0
-    started_at: float = 0.0
-    listed_from: float | None = None
-
-    def key(self) -> Key:
-        """Return the key of the task table."""
-        return self.job, self.run.index
-
-    def name(self) -> str:
-        """Return the endpoint's name for the task."""
-        return callers.task_name(self.job, self.run.index)
+# Longer than the usual interval of heartbeats.
+_RECALLED: typing.Final = 1.8
 
 
 class Executor:
@@ -77,9 +47,8 @@
         self.lease = lease.Lease(longest_lease)
         self.health = health.Health()
         self.slowness = health.Slowness()
-        self.tasks: dict[Key, Task] = {}
-        self.heartbeat: endpoints.Heartbeat | None = None
-        self.born = 0
+        self.tasks: dict[tasks.Key, tasks.Task] = {}
+        self.vitals = vitals.Vitals()
         self.seen = 0
         # Runs of a predecessor may be there until a report says otherwise.
         self.clean = False
@@ -92,10 +61,8 @@
 
     def accepting(self) -> bool:
         """Return whether new tasks may start."""
-        beat = self.heartbeat
         return (
-            beat is not None
-            and beat.state == endpoints.READY
+            self.vitals.ready()
             and self.clean
             and self.reachable
             and not self.stopping
@@ -103,16 +70,9 @@
             and self.health.room(clocks.now(), len(self.tasks))
         )
 
-    def capacity(self) -> messages.Need:
-        """Return the room of the endpoint when it runs nothing."""
-        if self.heartbeat is None:
-            return messages.Need(0, 0, 0)
-        room = self.heartbeat.capacity
-        return messages.Need(room.cpu, room.memory_mb, room.gpus)
-
     def free(self) -> messages.Need:
         """Return the room that no run takes, probable runs included."""
-        room = self.capacity()
+        room = self.vitals.capacity()
         needs = [task.need for task in self.tasks.values()]
         return messages.Need(
             room.cpu - sum(need.cpu for need in needs),
@@ -128,7 +88,7 @@
             if reason is not None:
                 refused.setdefault(reason, []).append(run)
                 continue
-            task = Task(owner, order.job, run, order.need, order.estimate)
+            task = tasks.Task(owner, order.job, run, order.need, order.estimate)
             self.tasks[task.key()] = task
             self._spawn(self._launch(task, order.specification))
         for reason, runs in refused.items():
@@ -150,7 +110,7 @@
             if task is not None:
                 self.stop_task(task)
 
-    def stop_task(self, task: Task) -> None:
+    def stop_task(self, task: tasks.Task) -> None:
         """Stop one task; its end is reported when it is certain."""
         if not task.stopping:
             task.stopping = True
@@ -158,9 +118,9 @@
 
     def drop(self, owner: owners.Owner) -> None:
         """Stop all tasks of an entry that is gone."""
-        tasks = [task for task in self.tasks.values() if task.owner is owner]
-        for task in tasks:
-            self.stop_task(task)
+        for task in list(self.tasks.values()):
+            if task.owner is owner:
+                self.stop_task(task)
 
     def holding(self, owner: owners.Owner) -> messages.Holding:
         """Return the runs that an entry has here."""
@@ -173,16 +133,13 @@
         )
 
     def observe_heartbeat(self, beat: endpoints.Heartbeat) -> None:
-        """Take over a report unless a later one is known."""
-        known = self.heartbeat
-        if known is not None:
-            if (beat.born, beat.sequence) <= (known.born, known.sequence):
-                return
-        if beat.born > self.born:
-            self._new_life(beat.born, beat.clock)
-        elif beat.born < self.born:
+        """Take over a heartbeat unless a later one is known."""
+        known = self.vitals.heartbeat
+        if self.vitals.outdated(beat):
             return
-        self.heartbeat = beat
+        if beat.born > self.vitals.born:
+            self._new_life(beat.born, beat.clock)
+        self.vitals.heartbeat = beat
         if known is None or known.state != beat.state:
             logger.info(
                 'endpoint state',
@@ -192,6 +149,11 @@
         self.changed.set()
         self.work.set()
 
+    def recall(self, beat: endpoints.Heartbeat | None) -> None:
+        """Take what an earlier process knew until a heartbeat arrives."""
+        if self.vitals.recall(beat):
+            self.work.set()
+
     def apply(
         self,
         report: endpoints.Report,
@@ -203,10 +165,11 @@
         `asked_at` and `token` are those of the request for the report.
         """
         now = clocks.now()
-        if report.born < self.born:
+        if report.born < self.vitals.born:
             return
-        if report.born > self.born:
+        if report.born > self.vitals.born:
             self._new_life(report.born, report.clock)
+        self.vitals.confirm()
         self.lease.observe(report.clock, now)
         by_name = {task.name(): task for task in self.tasks.values()}
         for ended in report.finished:
@@ -255,7 +218,7 @@
         self.background.add(task)
         task.add_done_callback(self.background.discard)
 
-    async def _launch(self, task: Task, specification: str) -> None:
+    async def _launch(self, task: tasks.Task, specification: str) -> None:
         for _ in range(_START_ATTEMPTS):
             now = clocks.now()
             until = self.lease.until(now)
@@ -275,20 +238,20 @@
                 return
         self._refuse(task, messages.Refusal.endpoint, 'no start in time')
 
-    def _start_again(self, task: Task, reply: endpoints.Reply) -> bool:
+    def _start_again(self, task: tasks.Task, reply: endpoints.Reply) -> bool:
         if self.tasks.get(task.key()) is not task:
             return False
         now = clocks.now()
         self.lease.observe(reply.clock, now)
         answer = reply.answer
         if answer is endpoints.Answer.accepted:
-            task.state = State.running
+            task.state = tasks.State.running
             task.listed_from = now
             return False
         if answer is endpoints.Answer.unanswered:
             # The order may still be carried out until a higher token is
             # known at the endpoint; the next report then decides.
-            task.state = State.unanswered
+            task.state = tasks.State.unanswered
             if task.token == self.lease.token:
                 self.lease.raise_token()
             logger.warning(
@@ -305,10 +268,10 @@
             return True
         if answer is endpoints.Answer.expired:
             return True
-        self._refuse(task, _REFUSALS[answer], answer.value)
+        self._refuse(task, tasks.REFUSALS[answer], answer.value)
         return False
 
-    async def _stop(self, task: Task) -> None:
+    async def _stop(self, task: tasks.Task) -> None:
         began = clocks.now()
         while self.tasks.get(task.key()) is task:
             reply = await self.endpoint.stop(
@@ -339,7 +302,7 @@
 
     def _compare(
         self,
-        task: Task,
+        task: tasks.Task,
         there: bool,
         asked_at: float,
         token: int,
@@ -347,20 +310,20 @@
         if self.tasks.get(task.key()) is not task:
             return
         if there:
-            if task.state is not State.running:
-                task.state = State.running
+            if task.state is not tasks.State.running:
+                task.state = tasks.State.running
                 task.listed_from = asked_at
             return
         if task.listed_from is not None:
             if asked_at >= task.listed_from:
                 self._finish(task, messages.Outcome.lost, 'not listed')
-        elif task.state is State.unanswered and token > task.token:
+        elif task.state is tasks.State.unanswered and token > task.token:
             self._refuse(task, messages.Refusal.endpoint, 'never started')
 
     def _stop_strangers(
         self,
         report: endpoints.Report,
-        by_name: dict[str, Task],
+        by_name: dict[str, tasks.Task],
     ) -> None:
         strangers = [
             row
@@ -394,17 +357,15 @@
         logger.info('endpoint started', extra={'details': {'born': born}})
         for task in list(self.tasks.values()):
             self._finish(task, messages.Outcome.lost, 'endpoint restarted')
-        if self.born:
-            self.heartbeat = None
-        self.born = born
+        self.vitals.new_life(born)
         self.seen = 0
         self.clean = False
         self.lease.new_life(clock, clocks.now())
         self.work.set()
         self.changed.set()
 
-    def _ended(self, task: Task, end: endpoints.End, now: float) -> None:
-        outcome = _OUTCOMES[end]
+    def _ended(self, task: tasks.Task, end: endpoints.End, now: float) -> None:
+        outcome = tasks.OUTCOMES[end]
         if outcome is messages.Outcome.done:
             self.slowness.observe(now - task.started_at, task.estimate)
             self.health.succeeded(task.job)
@@ -415,7 +376,7 @@
 
     def _finish(
         self,
-        task: Task,
+        task: tasks.Task,
         outcome: messages.Outcome,
         reason: str,
     ) -> None:
@@ -438,7 +399,7 @@
 
     def _refuse(
         self,
-        task: Task,
+        task: tasks.Task,
         reason: messages.Refusal,
         details: str,
     ) -> None:
@@ -453,20 +414,3 @@
                 'details': {'task': task.run.index, 'reason': details},
             },
         )
-
-
-_OUTCOMES: typing.Final = {
-    endpoints.End.done: messages.Outcome.done,
-    endpoints.End.failed: messages.Outcome.failed,
-    endpoints.End.stopped: messages.Outcome.stopped,
-    endpoints.End.lapsed: messages.Outcome.lost,
-    endpoints.End.broken: messages.Outcome.lost,
-    endpoints.End.alone: messages.Outcome.lost,
-}
-
-_REFUSALS: typing.Final = {
-    endpoints.Answer.superseded: messages.Refusal.conflict,
-    endpoints.Answer.no_room: messages.Refusal.no_room,
-    endpoints.Answer.unhealthy: messages.Refusal.endpoint,
-    endpoints.Answer.invalid: messages.Refusal.endpoint,
-}
--- /dev/null
+++ b/src/poplardrum/dispatch/tasks.py
@@ -0,0 +1,64 @@
+"""Runs of tasks at an endpoint as its agent tracks them."""
+
+import dataclasses
+import enum
+import typing
+
+from poplardrum import ids
+from poplardrum.dispatch import messages, owners
+from poplardrum.platform import callers, endpoints
+
+Key = tuple[ids.JobId, int]
+
+
+class State(enum.Enum):
+    """State of a run at the endpoint."""
+
+    starting = 'starting'
+    unanswered = 'unanswered'
+    running = 'running'
+
+
+@dataclasses.dataclass
+class Task:
+    """One run that takes room at the endpoint.
+
+    `listed_from`: reports asked for from this time on list the run if it
+    is there. `token` is that of its last start order.
+    """
+
+    owner: owners.Owner
+    job: ids.JobId
+    run: messages.TaskRun
+    need: messages.Need
+    estimate: float
+    state: State = State.starting
+    stopping: bool = False
+    token: int = 0
+    started_at: float = 0.0
+    listed_from: float | None = None
+
+    def key(self) -> Key:
+        """Return the key of the task table."""
+        return self.job, self.run.index
+
+    def name(self) -> str:
+        """Return the endpoint's name for the task."""
+        return callers.task_name(self.job, self.run.index)
+
+
+OUTCOMES: typing.Final = {
+    endpoints.End.done: messages.Outcome.done,
+    endpoints.End.failed: messages.Outcome.failed,
+    endpoints.End.stopped: messages.Outcome.stopped,
+    endpoints.End.lapsed: messages.Outcome.lost,
+    endpoints.End.broken: messages.Outcome.lost,
+    endpoints.End.alone: messages.Outcome.lost,
+}
+
+REFUSALS: typing.Final = {
+    endpoints.Answer.superseded: messages.Refusal.conflict,
+    endpoints.Answer.no_room: messages.Refusal.no_room,
+    endpoints.Answer.unhealthy: messages.Refusal.endpoint,
+    endpoints.Answer.invalid: messages.Refusal.endpoint,
+}
--- /dev/null
+++ b/src/poplardrum/dispatch/vitals.py
@@ -0,0 +1,75 @@
+"""What an agent knows of its endpoint: life, state and capacity."""
+
+import typing
+
+from poplardrum.dispatch import clocks, messages
+from poplardrum.platform import endpoints
+
+# Longer than the usual interval of heartbeats, in seconds.
+_RECALLED: typing.Final = 1.8
+
+
+class Vitals:
+    """The last heartbeat of the endpoint's present life.
+
+    Until the first one arrives, what an earlier process of the agent knew
+    is used if it speaks of the same life.
+    """
+
+    def __init__(self) -> None:
+        """Start without a known endpoint."""
+        self.heartbeat: endpoints.Heartbeat | None = None
+        self.recalled: endpoints.Heartbeat | None = None
+        self.recalled_at = 0.0
+        self.born = 0
+
+    def ready(self) -> bool:
+        """Return whether the endpoint takes tasks as far as is known."""
+        beat = self.heartbeat
+        if beat is None or beat.state != endpoints.READY:
+            return False
+        # An endpoint that left meanwhile would be missed: it has to say
+        # soon that it is still there.
+        age = clocks.now() - self.recalled_at
+        return beat is not self.recalled or age < _RECALLED
+
+    def capacity(self) -> messages.Need:
+        """Return the room of the endpoint when it runs nothing."""
+        if self.heartbeat is None:
+            return messages.Need(0, 0, 0)
+        room = self.heartbeat.capacity
+        return messages.Need(room.cpu, room.memory_mb, room.gpus)
+
+    def outdated(self, beat: endpoints.Heartbeat) -> bool:
+        """Return whether a heartbeat is older than what is known."""
+        known = self.heartbeat
+        if known is not None:
+            age = (beat.born, beat.sequence)
+            return age <= (known.born, known.sequence)
+        return beat.born < self.born
+
+    def recall(self, beat: endpoints.Heartbeat | None) -> bool:
+        """Take what an earlier process knew; return whether it helps."""
+        if self.heartbeat is None:
+            self.recalled = beat
+        return self.unconfirmed()
+
+    def unconfirmed(self) -> bool:
+        """Return whether a report has to confirm what was recalled."""
+        known = self.heartbeat is not None or self.born
+        return self.recalled is not None and not known
+
+    def confirm(self) -> None:
+        """Use what was recalled when it speaks of the present life."""
+        beat = self.recalled
+        if self.heartbeat is None and beat is not None:
+            if beat.born == self.born:
+                self.heartbeat = beat
+                self.recalled_at = clocks.now()
+
+    def new_life(self, born: int) -> None:
+        """Forget what is known of an earlier life."""
+        if self.born:
+            self.heartbeat = None
+            self.recalled = None
+        self.born = born
--- a/src/poplardrum/dispatch/watching.py
+++ b/src/poplardrum/dispatch/watching.py
@@ -5,7 +5,7 @@
 import logging
 import typing
 
-from poplardrum.dispatch import clocks, executor, messages
+from poplardrum.dispatch import clocks, executor, messages, tasks
 from poplardrum.platform import endpoints
 
 logger = logging.getLogger(__name__)
@@ -42,8 +42,8 @@
 
     def _needed(self) -> bool:
         runs = self.runs
-        if runs.heartbeat is None:
-            return False
+        if runs.vitals.heartbeat is None:
+            return runs.vitals.unconfirmed()
         healthy = runs.clean and runs.reachable and not runs.lease.suspended
         return bool(runs.tasks) or not healthy
 
@@ -52,8 +52,7 @@
         asked_at = clocks.now()
         token = runs.lease.token
         settling = not runs.clean or any(
-            task.state is executor.State.unanswered
-            for task in runs.tasks.values()
+            task.state is tasks.State.unanswered for task in runs.tasks.values()
         )
         wait = 0.0 if settling or not runs.tasks else _RENEW
         # Without a lease of its own tasks a report must not keep strangers.
@@ -153,12 +152,12 @@
     def load(self, link: messages.Link) -> messages.Load:
         """Return the present load for the entry at a link."""
         runs = self.runs
-        beat = runs.heartbeat
+        beat = runs.vitals.heartbeat
         return messages.Load(
             link.orders,
             runs.accepting(),
             runs.free(),
-            runs.capacity(),
+            runs.vitals.capacity(),
             round(runs.slowness.value(), 2),
             beat.labels if beat else [],
         )
--- a/src/poplardrum/standins/worker.py
+++ b/src/poplardrum/standins/worker.py
@@ -62,8 +62,8 @@
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                    async with session.put(url, json=self._report()):
-                        pass
+                    response = await session.put(url, json=self._report())
+                    response.release()
                 await asyncio.sleep(_BEAT)
 
     def _report(self) -> dict[str, typing.Any]:
--- a/tests/test_dispatch_executor.py
+++ b/tests/test_dispatch_executor.py
@@ -4,7 +4,7 @@
 import typing
 import unittest
 
-from poplardrum.dispatch import executor, messages
+from poplardrum.dispatch import executor, messages, watching
 from poplardrum.platform import endpoints
 from tests import dispatch_world
 
@@ -259,3 +259,57 @@
         self.world.order(4)
         await self.settled(4)
         self.assertTrue(self.world.runs.accepting())
+
+
+class TestRecalledEndpoint(unittest.IsolatedAsyncioTestCase):
+    """An agent that starts again beside a living endpoint."""
+
+    async def asyncSetUp(self) -> None:
+        """Prepare an agent that has got no heartbeat yet."""
+        self.world = dispatch_world.World()
+        self.addAsyncCleanup(self.world.end)
+
+    def recall(self, born: int) -> None:
+        """Recall the endpoint of an earlier process and watch it."""
+        self.world.runs.recall(
+            endpoints.Heartbeat(
+                'intake',
+                'ready',
+                7,
+                endpoints.Capacity(2000, 65536),
+                born,
+            ),
+        )
+        self.world.tasks.append(
+            asyncio.ensure_future(watching.Watch(self.world.runs).run()),
+        )
+
+    async def test_same_life(self) -> None:
+        """Guards against an idle endpoint until its next heartbeat."""
+        self.world.endpoint.world.token = self.world.endpoint.clock()
+        self.recall(self.world.endpoint.born)
+        await dispatch_world.until(self.world.runs.accepting)
+        self.assertEqual(self.world.runs.free().cpu, 2000)
+
+    async def test_another_life(self) -> None:
+        """Guards against room that a restarted endpoint does not have."""
+        self.world.endpoint.born = 5
+        self.recall(4)
+        await dispatch_world.until(lambda: self.world.runs.vitals.born == 5)
+        self.assertFalse(self.world.runs.accepting())
+
+    async def test_heartbeats_that_stay_away(self) -> None:
+        """Guards against work for an endpoint that left meanwhile."""
+        self.recall(self.world.endpoint.born)
+        await dispatch_world.until(self.world.runs.accepting)
+        self.world.runs.vitals.recalled_at -= 60
+        self.assertFalse(self.world.runs.accepting())
+
+    async def test_heartbeat_replaces_what_was_recalled(self) -> None:
+        """Guards against stale room once the endpoint has reported."""
+        self.recall(self.world.endpoint.born)
+        await dispatch_world.until(self.world.runs.accepting)
+        self.world.sequence = 7
+        self.world.beat('draining')
+        self.assertFalse(self.world.runs.accepting())
+        self.assertEqual(self.world.runs.free().cpu, 4000)
