Answer requests that arrive while a stopping entry closes

Ruled out: the grace, of which 3 s were left, and the agents' links, which close later.

Change: servers give requests that arrive at their end 0.9 s; the drain ends that much earlier.

--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -25,6 +25,7 @@
 _MEMBERS_RETRY: typing.Final = 0.5
 _BALANCER_MISSES: typing.Final = 2.3
 _EXIT_MARGIN: typing.Final = 0.3
+_LAST_ANSWERS: typing.Final = _EXIT_MARGIN + lifecycle.LAST_ANSWERS
 _POLL: typing.Final = 0.05
 
 
@@ -139,7 +140,7 @@
     """Answer open requests; leave when the balancer sends no more."""
     began = clocks.now()
     desk.stop(began + grace - _EXIT_MARGIN)
-    while clocks.now() < began + grace - _EXIT_MARGIN:
+    while clocks.now() < began + grace - _LAST_ANSWERS:
         left = clocks.now() - began
         if left > _BALANCER_MISSES and not desk.open_requests:
             return
--- a/src/poplardrum/dispatch/lifecycle.py
+++ b/src/poplardrum/dispatch/lifecycle.py
@@ -16,6 +16,8 @@
 
 _FAULT_EXIT: typing.Final = 70
 _BACKLOG: typing.Final = 1024
+# Seconds for requests that arrive while a server closes.
+LAST_ANSWERS: typing.Final = 0.9
 
 Handler = typing.Callable[[web.BaseRequest], typing.Awaitable[web.Response]]
 
@@ -89,7 +91,7 @@
         access_log=None,
         tcp_keepalive=False,
     )
-    runner = web.ServerRunner(server, shutdown_timeout=0.1)
+    runner = web.ServerRunner(server, shutdown_timeout=LAST_ANSWERS)
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
     host, port = address
