--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 import typing
 
 from poplardrum import errors, ids, lines
@@ -13,6 +14,8 @@
 # lost: its silence and resume times, its stops, and the endpoint's lease.
 SAFE: typing.Final = 2.3
 _REFUSED_AGAIN: typing.Final = 0.02
+# Seconds over which refused callers are asked to come back.
+_LATEST_RETURN: typing.Final = 3.0
 _FASTEST: typing.Final = 0.05
 
 
@@ -266,16 +269,21 @@
 
     def _refuse_waiting(self, job: jobs.Job) -> None:
         if not job.started and not job.answer.done():
+            agents = self.agents.values()
+            usable = sum(agent.usable() for agent in agents)
             job.answer.set_exception(
                 errors.refusal(
                     errors.Code.overload,
-                    'no room in time',
-                    retry_after=1,
+                    f'no room in time: {usable} agents usable, '
+                    f'{len(self.queue)} jobs waiting',
+                    retry_after=random.uniform(0, _LATEST_RETURN),
                 ),
             )
 
     def _give_up(self, job: jobs.Job) -> None:
-        if not job.answer.done():
+        if not job.started:
+            self._refuse_waiting(job)
+        elif not job.answer.done():
             job.answer.set_exception(
                 errors.uncertain(errors.Code.deadline, 'deadline passed'),
             )
--- a/tests/test_dispatch_coordinator.py
+++ b/tests/test_dispatch_coordinator.py
@@ -167,6 +167,20 @@
         self.assertEqual(self.started(), 1)
         self.assertFalse(job.answer.done())
 
+    async def test_patience_that_is_over_before_a_start(self) -> None:
+        """Guards against doubt about a job of which nothing has started.
+
+        Seen in the log of caballeriza-comun scale-2: a job sent again with
+        1 ms of patience left was answered as one that may have run.
+        """
+        self.report(self.agent, messages.Need(0, 0, 0))
+        job = self.job(1, 2)
+        job.give_up_at = job.arrived
+        self.jobs.submit(job)
+        await asyncio.wait([job.answer], timeout=20)
+        error = typing.cast(errors.PoplardrumError, job.answer.exception())
+        self.assertIs(error.verdict, errors.Verdict.not_run)
+
     async def test_no_task_after_a_failed_answer(self) -> None:
         """Guards against new starts for a job that is answered."""
         job = await self.submit(1, 2)
