Keep to services, labels and racks; name what is not served

Cause: placement did not look at the service of a queue, a step's required label or the rack of its data; one service a site hid that. A job with a limit of tasks on one endpoint or a queue with advice would have run without them.

Change: agents report their endpoint's service, entries place by service and label and count the rack's factor as slowness; the rest gets 501. The path tests bring the stand-in's runs up to date before they count them and hit an agent that has tasks: test_frozen_agent had counted runs whose lease was over (16 for 12), and at times froze an agent without tasks.

Measured: two new decision tests; 83 tests of path, executor, coordinator, decisions and replies pass.

--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -22,9 +22,13 @@
 class Coordinator:
     """Place the tasks of all jobs that this entry took."""
 
-    def __init__(self, zone: str) -> None:
-        """Start without agents and jobs."""
+    def __init__(self, zone: str, far_factor: float = 1) -> None:
+        """Start without agents and jobs.
+
+        Tasks take `far_factor` times as long away from their data.
+        """
         self.zone = zone
+        self.far_factor = far_factor
         self.agents: dict[ids.Incarnation, fleet.Agent] = {}
         self.jobs: dict[ids.JobId, jobs.Job] = {}
         # Jobs that may have tasks to place.
@@ -116,6 +120,10 @@
         wish = placement.Wish(
             job.need,
             len(tasks),
+            job.service,
+            job.label,
+            job.rack,
+            self.far_factor,
             avoided,
             job.tolerated(now),
             not job.predicted or job.started or now >= job.last_resort_at,
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -156,7 +156,7 @@
     async with contextlib.AsyncExitStack() as stack:
         stored = kv.KvStore(config.store, membership.TIMEOUT)
         stack.push_async_callback(stored.close)
-        jobs = coordinator.Coordinator(config.zone)
+        jobs = coordinator.Coordinator(config.zone, config.far_factor)
         table = routes.Routes()
         desk = intake.Intake(config, table, jobs)
         links = Links(config.node, jobs)
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -25,6 +25,7 @@
     free: messages.Need = _NOTHING
     capacity: messages.Need = _NOTHING
     slowness: float = 1.0
+    service: str = ''
     labels: list[str] = dataclasses.field(default_factory=list)
     orders: int = 0
     in_flight: collections.deque[tuple[int, messages.Need]] = dataclasses.field(
@@ -35,6 +36,10 @@
         """Return whether tasks may be sent to it."""
         return self.accepting and self.link is not None
 
+    def suits(self, service: str, label: str) -> bool:
+        """Return whether its endpoint is of a service and has a label."""
+        return self.service == service and (not label or label in self.labels)
+
     def fits(self, need: messages.Need) -> int:
         """Return how many tasks of a size fit into the free room."""
         return min(
@@ -65,6 +70,7 @@
         """Take over a load that knows of the first `load.orders` orders."""
         self.accepting = load.accepting
         self.slowness = load.slowness
+        self.service = load.service
         self.labels = load.labels
         self.capacity = load.capacity
         while self.in_flight and self.in_flight[0][0] <= load.orders:
--- a/src/poplardrum/dispatch/intake.py
+++ b/src/poplardrum/dispatch/intake.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from poplardrum import errors, ids, lines
+from poplardrum.callers import replies
 from poplardrum.dispatch import (
     admission,
     clocks,
@@ -30,18 +31,12 @@
 _MAX_QUEUES: typing.Final = 256
 _JSON: typing.Final = 'application/json'
 
+# The users' callers send a job again after 504 and never after 503.
 _STATUS: typing.Final = {
-    errors.Code.bad_request: 400,
-    errors.Code.too_large: 413,
-    errors.Code.too_many_tasks: 413,
-    errors.Code.unsupported: 501,
+    **replies.STATUS,
     errors.Code.unknown_job: 410,
-    errors.Code.no_configuration: 503,
-    errors.Code.unavailable: 503,
-    errors.Code.overload: 503,
-    errors.Code.stopping: 503,
     errors.Code.key_reused: 504,
-    errors.Code.deadline: 504,
+    errors.Code.overload: 503,
 }
 _ANSWERS: typing.Final = {
     jobs.Answer.completed: callers.COMPLETED,
@@ -110,6 +105,11 @@
             return self._other(request, route, job_id)
         if job_id is None:
             raise errors.refusal(errors.Code.bad_request, 'malformed id')
+        if route.advice:
+            raise errors.refusal(
+                errors.Code.unsupported,
+                'queues with advice are not served',
+            )
         wanted = callers.decode_submission(await request.read())
         job = self._job(request, route, job_id, wanted, arrived)
         self.jobs.submit(job)
@@ -214,6 +214,9 @@
             attempts=max(route.attempts, 1),
             specification=wanted.specification,
             need=messages.Need(step.cpu, step.memory_mb, step.gpus),
+            service=route.service,
+            label=step.label,
+            rack=step.data_rack,
             estimate=estimate,
             patience=patience,
             work=work,
@@ -275,7 +278,7 @@
     if error.retry_after is not None:
         headers[callers.RETRY_HEADER] = str(math.ceil(error.retry_after))
     return web.Response(
-        status=_STATUS.get(error.code, 404),
+        status=_STATUS[error.code],
         headers=headers,
         body=b'{}',
         content_type=_JSON,
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -71,6 +71,9 @@
     attempts: int
     specification: str
     need: messages.Need
+    service: str
+    label: str
+    rack: str
     estimate: float
     patience: float
     work: float
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -126,6 +126,7 @@
     free: Need
     capacity: Need
     slowness: float
+    service: str
     labels: list[str]
 
 
--- a/src/poplardrum/dispatch/placement.py
+++ b/src/poplardrum/dispatch/placement.py
@@ -8,12 +8,18 @@
 class Wish(typing.NamedTuple):
     """What a job needs now.
 
-    `tolerated` is the slowness up to which it still ends in time; endpoints
-    in `avoided` have failed it.
+    It runs at endpoints of `service` that have `label`, if there is one.
+    Tasks take `far_factor` times as long away from the rack of their data.
+    `tolerated` is the slowness up to which the job still ends in time;
+    endpoints in `avoided` have failed it.
     """
 
     need: messages.Need
     tasks: int
+    service: str
+    label: str = ''
+    rack: str = ''
+    far_factor: float = 1
     avoided: typing.AbstractSet[str] = frozenset()
     tolerated: float = 0
     last_resort: bool = True
@@ -42,7 +48,11 @@
     between zones are paid for, then the one with the most room. Endpoints
     in `avoided` are used only when no other has room at all.
     """
-    usable = [agent for agent in agents if agent.usable()]
+    usable = [
+        agent
+        for agent in agents
+        if agent.usable() and agent.suits(wish.service, wish.label)
+    ]
     scarce = fast_room(usable) < _SCARCE
     fitting = [(agent, agent.fits(wish.need)) for agent in usable]
     fitting = [pick for pick in fitting if pick[1] > 0]
@@ -51,20 +61,27 @@
         preferred = [
             pick
             for pick in preferred or fitting
-            if pick[0].slowness <= wish.tolerated
+            if slowness(pick[0], wish) <= wish.tolerated
         ]
         fitting = preferred
 
     def rank(pick: Pick) -> tuple[float, bool, int]:
         agent, fits = pick
-        speed = round(agent.slowness / _SLOWNESS_STEP)
-        if scarce and agent.slowness <= wish.tolerated:
+        slow = slowness(agent, wish)
+        speed = round(slow / _SLOWNESS_STEP)
+        if scarce and slow <= wish.tolerated:
             speed = -speed
         return speed, agent.zone != zone, -fits
 
     return _take(sorted(preferred or fitting, key=rank), wish.tasks)
 
 
+def slowness(agent: fleet.Agent, wish: Wish) -> float:
+    """Return the slowness of an endpoint for one job."""
+    far = wish.rack and wish.rack not in agent.labels
+    return agent.slowness * (wish.far_factor if far else 1)
+
+
 def fast_room(agents: typing.Sequence[fleet.Agent]) -> float:
     """Return the free share of the faster half of the endpoints."""
     ranked = sorted(agents, key=_slowness)
--- a/src/poplardrum/dispatch/watching.py
+++ b/src/poplardrum/dispatch/watching.py
@@ -162,5 +162,6 @@
             runs.free(),
             runs.vitals.capacity(),
             round(runs.slowness.value(), 2),
+            beat.service if beat else '',
             beat.labels if beat else [],
         )
--- a/src/poplardrum/platform/callers.py
+++ b/src/poplardrum/platform/callers.py
@@ -116,6 +116,7 @@
         (found.steps[0].gang, 'gangs'),
         (found.steps[0].lasting, 'long-running tasks'),
         (found.steps[0].fills, 'filling tasks'),
+        (found.steps[0].spread_limit, 'limits of tasks on one endpoint'),
     ):
         if wanted:
             raise errors.refusal(
--- a/src/poplardrum/platform/site.py
+++ b/src/poplardrum/platform/site.py
@@ -25,6 +25,7 @@
     stop_ms: float = msgspec.field(default=50, name='StopTimeoutMs')
     resend_ms: float = msgspec.field(default=1300, name='ResendMs')
     config_ms: float = msgspec.field(default=2000, name='ConfigApplyMs')
+    far_factor: float = msgspec.field(default=1, name='SpreadFactor')
 
 
 class _Store(msgspec.Struct):
@@ -66,6 +67,7 @@
     stop_time: float
     resubmission: float
     config_bound: float
+    far_factor: float
 
 
 def load(path: pathlib.Path) -> Site:
@@ -99,6 +101,7 @@
         stop_time=bounds.stop_ms / _MILLISECONDS,
         resubmission=bounds.resend_ms / _MILLISECONDS,
         config_bound=bounds.config_ms / _MILLISECONDS,
+        far_factor=bounds.far_factor,
     )
 
 
--- a/tests/test_dispatch_coordinator.py
+++ b/tests/test_dispatch_coordinator.py
@@ -36,7 +36,7 @@
 
     def report(self, agent: fleet.Agent, room: messages.Need) -> None:
         """Report the room that is free at an agent."""
-        load = messages.Load(agent.orders, True, room, ROOM, 1.0, [])
+        load = messages.Load(agent.orders, True, room, ROOM, 1.0, 'intake', [])
         self.jobs.take(agent, load)
 
     def job(self, number: int, tasks: int, wait: float = 5.0) -> jobs.Job:
@@ -50,6 +50,9 @@
             attempts=2,
             specification='specification',
             need=NEED,
+            service='intake',
+            label='',
+            rack='',
             estimate=0.1,
             patience=30.0,
             work=0.1,
@@ -253,7 +256,7 @@
     async def test_orders_on_the_way_take_room(self) -> None:
         """Guards against orders beyond a report that is older than they."""
         await self.submit(1, 4)
-        stale = messages.Load(0, True, ROOM, ROOM, 1.0, [])
+        stale = messages.Load(0, True, ROOM, ROOM, 1.0, 'intake', [])
         self.jobs.take(self.agent, stale)
         await self.submit(2, 4)
         self.assertEqual(self.started(), 4)
--- a/tests/test_dispatch_decisions.py
+++ b/tests/test_dispatch_decisions.py
@@ -28,6 +28,7 @@
     slowness: float,
     free: int = 16000,
     zone: str = 'toledo',
+    labels: typing.Sequence[str] = (),
 ) -> fleet.Agent:
     """Return a connected agent with some free room."""
     found = fleet.Agent(node, zone, ids.new_incarnation())
@@ -38,7 +39,8 @@
         messages.Need(free, 65536, 0),
         ROOM,
         slowness,
-        [],
+        'intake',
+        list(labels),
     )
     found.report(load)
     return found
@@ -88,20 +90,22 @@
         """Guards against slow answers while fast endpoints are free."""
         found = placement.choose(
             [agent('slow', 1.7), agent('fast', 0.6), agent('usual', 1.0)],
-            placement.Wish(TASK, 12),
+            placement.Wish(TASK, 12, 'intake'),
             'toledo',
         )
         self.assertEqual(nodes(found), [('fast', 10), ('usual', 2)])
 
     def test_long_job_waits_for_a_fast_endpoint(self) -> None:
         """Guards against a flood of long jobs on endpoints of no use."""
-        wish = placement.Wish(TASK, 2, tolerated=1.5, last_resort=False)
+        wish = placement.Wish(
+            TASK, 2, 'intake', tolerated=1.5, last_resort=False
+        )
         agents = [agent('slow', 1.7), agent('fast', 0.6, free=0)]
         self.assertEqual(placement.choose(agents, wish, 'toledo'), [])
 
     def test_short_job_leaves_fast_room_when_it_is_scarce(self) -> None:
         """Guards against short jobs that crowd out the long ones."""
-        wish = placement.Wish(TASK, 1, tolerated=2.0)
+        wish = placement.Wish(TASK, 1, 'intake', tolerated=2.0)
         agents = [agent('slow', 1.7), agent('fast', 0.6, free=1600)]
         found = placement.choose(agents, wish, 'toledo')
         self.assertEqual(nodes(found), [('slow', 1)])
@@ -114,14 +118,34 @@
         ]
         found = placement.choose(
             agents,
-            placement.Wish(TASK, 1),
+            placement.Wish(TASK, 1, 'intake'),
             'toledo',
         )
         self.assertEqual(nodes(found), [('near', 1)])
 
+    def test_service_and_label(self) -> None:
+        """Guards against a start where the operator allows none."""
+        agents = [agent('a', 1.0), agent('b', 1.7, labels=('gpu', 'r1-3'))]
+        wish = placement.Wish(TASK, 1, 'intake', label='gpu')
+        found = placement.choose(agents, wish, 'toledo')
+        self.assertEqual(nodes(found), [('b', 1)])
+        other = placement.Wish(TASK, 1, 'ledger')
+        self.assertEqual(placement.choose(agents, other, 'toledo'), [])
+
+    def test_rack_of_the_data(self) -> None:
+        """Guards against work away from its data, and a hot rack's queue."""
+        near = agent('near', 1.0, labels=('r1-3',))
+        far = agent('far', 0.9)
+        wish = placement.Wish(TASK, 1, 'intake', rack='r1-3', far_factor=1.5)
+        found = placement.choose([near, far], wish, 'toledo')
+        self.assertEqual(nodes(found), [('near', 1)])
+        full = agent('near', 1.0, free=0, labels=('r1-3',))
+        found = placement.choose([full, far], wish, 'toledo')
+        self.assertEqual(nodes(found), [('far', 1)])
+
     def test_endpoint_that_failed_the_job(self) -> None:
         """Guards against attempts that all go to one bad endpoint."""
-        wish = placement.Wish(TASK, 1, avoided=frozenset(('bad',)))
+        wish = placement.Wish(TASK, 1, 'intake', avoided=frozenset(('bad',)))
         agents = [agent('bad', 0.6), agent('good', 1.7)]
         found = placement.choose(agents, wish, 'toledo')
         self.assertEqual(nodes(found), [('good', 1)])
@@ -154,6 +178,7 @@
         wish = placement.Wish(
             TASK,
             count,
+            'intake',
             tolerated=tolerated,
             last_resort=last_resort,
         )
--- a/tests/test_dispatch_path.py
+++ b/tests/test_dispatch_path.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 import typing
 import unittest
 
@@ -65,7 +66,9 @@
             return 0
 
     def running(self) -> int:
-        """Return the number of tasks at all endpoints."""
+        """Return the number of tasks at all endpoints now."""
+        for each in self.site.workers:
+            each.world.advance(time.monotonic())
         return sum(len(each.world.running) for each in self.site.workers)
 
 
@@ -142,6 +145,11 @@
     kind = worker.Kind(duration=1.0)
     first_host = 30
 
+    def busy_agent(self) -> site.Host:
+        """Return an agent whose endpoint runs tasks."""
+        counts = [len(each.world.running) for each in self.site.workers]
+        return self.site.agents[counts.index(max(counts))]
+
     async def test_planned_stop_of_an_entry(self) -> None:
         """Guards against a request that a planned stop cuts."""
         job = asyncio.ensure_future(self.submit(0, 200, 2))
@@ -154,9 +162,10 @@
         """Guards against tasks that a planned stop of an agent ends."""
         job = asyncio.ensure_future(self.submit(0, 200, 12))
         await dispatch_world.until(lambda: self.running() == 12)
-        self.site.agents[0].signal(signal.SIGTERM)
+        agent = self.busy_agent()
+        agent.signal(signal.SIGTERM)
         self.assertEqual(await job, 200)
-        await dispatch_world.until(lambda: not self.site.agents[0].alive())
+        await dispatch_world.until(lambda: not agent.alive())
 
     async def test_killed_entry(self) -> None:
         """Guards against tasks that run on when their job is sent again."""
@@ -177,7 +186,7 @@
         """Guards against a second run beside one of a killed agent."""
         job = asyncio.ensure_future(self.submit(0, 200, 12))
         await dispatch_world.until(lambda: self.running() == 12)
-        agent = self.site.agents[0]
+        agent = self.busy_agent()
         agent.signal(signal.SIGKILL)
         await dispatch_world.until(lambda: not agent.alive())
         agent.start(self.site.folder)
@@ -192,7 +201,7 @@
         """Guards against a second run beside one of a frozen agent."""
         job = asyncio.ensure_future(self.submit(0, 200, 12))
         await dispatch_world.until(lambda: self.running() == 12)
-        agent = self.site.agents[0]
+        agent = self.busy_agent()
         agent.signal(signal.SIGSTOP)
         most = 12
         while not job.done():
