Test the adapter of the users' platform

Change: 17 tests against the stand-in store (pages, watches, lost history, entries of other writers, leases, lost answers) and of malformed input.

--- /dev/null
+++ b/tests/test_platform_users.py
@@ -0,0 +1,267 @@
+"""The users' platform: store, settings, heartbeats and callers' requests."""
+
+import base64
+import json
+import pathlib
+import tempfile
+import typing
+import unittest
+
+from aiohttp import web
+
+from poplardrum import errors, ids
+from poplardrum.dispatch import membership
+from poplardrum.platform import callers, endpoints, kv, site, store
+from poplardrum.standins import kv as kv_stand_in
+from poplardrum.standins import ports
+
+
+def encoded(text: str) -> str:
+    """Return text as the store keeps it."""
+    return base64.b64encode(text.encode()).decode()
+
+
+class TestStore(unittest.IsolatedAsyncioTestCase):
+    """The store's adapter against its stand-in."""
+
+    async def asyncSetUp(self) -> None:
+        """Serve the stand-in and connect to it."""
+        self.stand_in = kv_stand_in.KvStandIn()
+        address = ('127.0.0.1', ports.free_ports(1)[0])
+        runner = web.AppRunner(
+            self.stand_in.application(),
+            shutdown_timeout=0.1,
+        )
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, *address).start()
+        self.store = kv.KvStore(address, 0.3)
+        self.addAsyncCleanup(self.store.close)
+
+    async def test_many_pages(self) -> None:
+        """Guards against entries beyond the first page that are missed."""
+        for number in range(1203):
+            self.stand_in.put(f'a/{number:05}', encoded('x'))
+        found = await self.store.read('a/', prefix=True)
+        self.assertEqual(len(found.values), 1203)
+
+    async def test_watch_returns_all_values(self) -> None:
+        """Guards against a snapshot that holds the changes alone."""
+        self.stand_in.put('a/1', encoded('one'))
+        self.stand_in.put('a/2', encoded('two'))
+        first = await self.store.read('a/', prefix=True)
+        self.stand_in.put('a/3', encoded('three'))
+        self.stand_in.remove('a/1')
+        found = await self.store.read(
+            'a/',
+            prefix=True,
+            after=first.index,
+            wait=0.2,
+        )
+        self.assertEqual(
+            {entry.key: entry.value for entry in found.values},
+            {'a/2': b'two', 'a/3': b'three'},
+        )
+
+    async def test_history_that_is_gone(self) -> None:
+        """Guards against changes that are lost with the history."""
+        first = await self.store.read('a/', prefix=True)
+        self.stand_in.put('a/1', encoded('one'))
+        self.stand_in.compact()
+        found = await self.store.read(
+            'a/',
+            prefix=True,
+            after=first.index,
+            wait=0.2,
+        )
+        self.assertEqual([entry.key for entry in found.values], ['a/1'])
+
+    async def test_exact_key(self) -> None:
+        """Guards against a longer key that is taken for the one asked."""
+        self.stand_in.put('op/config', encoded('x'))
+        self.stand_in.put('op/config-old', encoded('y'))
+        found = await self.store.read('op/config')
+        self.assertEqual([entry.value for entry in found.values], [b'x'])
+
+    async def test_entry_of_another_writer(self) -> None:
+        """Guards against one unreadable entry that hides the others."""
+        self.stand_in.put('a/1', 'not base64!')
+        self.stand_in.put('a/2', encoded('two'))
+        found = await self.store.read('a/', prefix=True)
+        self.assertEqual([entry.key for entry in found.values], ['a/2'])
+
+    async def test_compare_and_swap(self) -> None:
+        """Guards against a write over another writer's."""
+        self.assertTrue(await self.store.write('a', b'1', expected=0))
+        self.assertFalse(await self.store.write('a', b'2', expected=0))
+
+    async def test_lease(self) -> None:
+        """Guards against announcements that outlive their process."""
+        lease = await self.store.grant_lease(5)
+        await self.store.write('a', b'1', lease=lease)
+        self.assertTrue(await self.store.renew_lease(lease))
+        await self.store.revoke_lease(lease)
+        self.assertFalse(await self.store.renew_lease(lease))
+        self.assertEqual((await self.store.read('a')).values, [])
+
+    async def test_troubles(self) -> None:
+        """Guards against a lost write that is taken for one not done."""
+        for trouble, verdict in (
+            (kv_stand_in.Trouble.busy, errors.Verdict.not_run),
+            (kv_stand_in.Trouble.silent, errors.Verdict.may_have_run),
+            (kv_stand_in.Trouble.answer_lost, errors.Verdict.may_have_run),
+        ):
+            with self.subTest(trouble=trouble):
+                self.stand_in.trouble = trouble
+                with self.assertRaises(errors.PoplardrumError) as caught:
+                    await self.store.write('a', b'1')
+                self.assertIs(caught.exception.verdict, verdict)
+
+
+class TestMembership(unittest.TestCase):
+    """Announced entries."""
+
+    def test_malformed_announcements(self) -> None:
+        """Guards against one malformed announcement that hides others."""
+        values = [
+            store.StoredValue('e/1', b'["10.0.0.1", 7720]', 1),
+            store.StoredValue('e/2', b'{"port": 1}', 2),
+            store.StoredValue('e/3', b'\xff', 3),
+        ]
+        with self.assertLogs('poplardrum', 'WARNING'):
+            found = membership.decode(values)
+        self.assertEqual(found, [('10.0.0.1', 7720)])
+
+
+class TestSettings(unittest.TestCase):
+    """The users' settings file."""
+
+    document: typing.ClassVar[dict[str, typing.Any]] = {
+        'NodeName': 'side-1',
+        'IpAddress': '10.1.0.14',
+        'Zone': 'toledo',
+        'InternalPorts': [7720, 7735],
+        'SeedNodes': ['10.1.0.13:8166'],
+        'ListenAddresses': {'Control': '10.1.0.14:8166'},
+        'Bounds': {'MaxHoldMs': 800, 'SomethingNew': 3},
+        'platform': {'Address': '10.200.1.7:8169', 'form': 'kv'},
+        'app': '10.1.0.14:8165',
+    }
+
+    def load(self, **changes: typing.Any) -> site.Site:
+        """Load the document with some fields changed."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / 'settings.json'
+            path.write_text(json.dumps(self.document | changes))
+            return site.load(path)
+
+    def test_fields(self) -> None:
+        """Guards against settings that are read in the wrong unit."""
+        found = self.load()
+        self.assertEqual(found.max_lease, 0.8)
+        self.assertEqual(found.peers, ('10.1.0.14', 7720))
+        self.assertEqual(found.seeds, (('10.1.0.13', 7720),))
+        self.assertEqual(found.endpoint, ('10.1.0.14', 8165))
+        self.assertIsNone(found.callers)
+
+    def test_wrong_field(self) -> None:
+        """Guards against an error that names no file and field."""
+        for changes in ({'NodeName': 7}, {'InternalPorts': 'x'}):
+            with self.subTest(changes=changes):
+                with self.assertRaises(errors.PoplardrumError) as caught:
+                    self.load(**changes)
+                message = caught.exception.message
+                self.assertIn('settings.json', message)
+                self.assertIn(next(iter(changes)), message)
+
+
+class TestHeartbeats(unittest.TestCase):
+    """Heartbeats of endpoints."""
+
+    def test_malformed(self) -> None:
+        """Guards against a heartbeat of another writer that is believed."""
+        good: dict[str, typing.Any] = {
+            'Service': 'intake',
+            'State': 'ready',
+            'Sequence': 4,
+            'Capacity': {'Cpu': 16000, 'RequestedMemoryMb': 65536},
+        }
+        self.assertIsNotNone(
+            endpoints.decode_heartbeat(json.dumps(good).encode()),
+        )
+        for body in (
+            b'\xff',
+            b'[]',
+            json.dumps(good | {'State': 'asleep'}).encode(),
+            json.dumps(good | {'Sequence': 'x'}).encode(),
+            json.dumps(good | {'Capacity': None}).encode(),
+        ):
+            with self.subTest(body=body):
+                self.assertIsNone(endpoints.decode_heartbeat(body))
+
+
+class TestSubmissions(unittest.TestCase):
+    """Jobs as callers send them."""
+
+    step: typing.ClassVar[dict[str, typing.Any]] = {'Count': 2, 'Cpu': 1600}
+
+    def code(self, **changes: typing.Any) -> errors.Code | None:
+        """Return the code of the refusal of a changed job."""
+        body = {
+            'Specification': 'x',
+            'BestEffort': True,
+            'Steps': [self.step],
+        } | changes
+        try:
+            callers.decode_submission(json.dumps(body).encode())
+        except errors.PoplardrumError as error:
+            self.assertIs(error.verdict, errors.Verdict.not_run)
+            return error.code
+        return None
+
+    def test_served(self) -> None:
+        """Guards against refusing the usual job."""
+        self.assertIsNone(self.code())
+
+    def test_not_served(self) -> None:
+        """Guards against a silent wrong answer for kinds not built."""
+        for changes in (
+            {'BestEffort': False},
+            {'Steps': [self.step, self.step]},
+            {'Repetitions': 2},
+            {'Steps': [self.step | {'Gang': True}]},
+            {'Steps': [self.step | {'LongRunning': True}]},
+            {'Steps': [self.step | {'Fills': True}]},
+            {'Steps': [self.step | {'AntiAffinity': 1}]},
+        ):
+            with self.subTest(changes=changes):
+                self.assertIs(self.code(**changes), errors.Code.unsupported)
+
+    def test_malformed(self) -> None:
+        """Guards against a job that is half understood."""
+        for changes, code in (
+            ({'Steps': []}, errors.Code.bad_request),
+            ({'Steps': [{'Count': 'x'}]}, errors.Code.bad_request),
+            ({'Specification': 'x' * 4001}, errors.Code.too_large),
+            ({'Steps': [{'Count': 5000}]}, errors.Code.too_many_tasks),
+        ):
+            with self.subTest(changes=changes):
+                self.assertIs(self.code(**changes), code)
+
+    def test_longest_prefix(self) -> None:
+        """Guards against a job that runs by the wrong route."""
+        routes = [
+            callers.Route('a', 'h.example', '/x/'),
+            callers.Route('b', 'h.example', '/x/y/'),
+            callers.Route('c', 'other.example', '/x/y/z/'),
+        ]
+        found = callers.Configuration(1, routes).match('h.example', '/x/y/z/1')
+        self.assertIs(found, routes[1])
+
+    def test_id(self) -> None:
+        """Guards against task names that are no names."""
+        route = callers.Route('a', 'h.example', '/x/')
+        identity = ids.JobId('5c0e7a21d94b36f8')
+        self.assertEqual(callers.job_id(route, f'/x/{identity}'), identity)
+        for path in ('/x/', '/x/5c0e', '/x/5c0e7a21d94b36fz'):
+            self.assertIsNone(callers.job_id(route, path))
