Let rooms compare and subtract themselves; read gauges where they belong

Change: Need.covers and Need.less; an agent's gauges stand beside its load report. No decision changes.

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import random
 import typing
@@ -238,6 +239,7 @@
         stored = kv.KvStore(config.store, membership.TIMEOUT)
         stack.push_async_callback(stored.close)
         runs = executor.Executor(client, config.max_lease, config.stop_time)
+        runs.figures.gauges = functools.partial(watching.gauges, runs)
         agent = Agent(config, runs)
         stack.callback(agent.close)
         await lifecycle.serve(stack, registry_handler(runs), config.registry)
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -1,7 +1,6 @@
 """Tasks of an agent's endpoint: starts, stops, lease and ends."""
 
 import asyncio
-import functools
 import logging
 import typing
 
@@ -49,7 +48,7 @@
         self.lease = lease.Lease(longest_lease)
         self.health = health.Health()
         self.slowness = health.Slowness()
-        self.figures = figures.Figures(functools.partial(_gauges, self))
+        self.figures = figures.Figures()
         self.tasks: dict[tasks.Key, tasks.Task] = {}
         self.vitals = vitals.Vitals()
         self.seen = 0
@@ -75,13 +74,8 @@
 
     def free(self) -> messages.Need:
         """Return the room that no run takes, probable runs included."""
-        room = self.vitals.capacity()
-        needs = [task.need for task in self.tasks.values()]
-        return messages.Need(
-            room.cpu - sum(need.cpu for need in needs),
-            room.memory_mb - sum(need.memory_mb for need in needs),
-            room.gpus - sum(need.gpus for need in needs),
-        )
+        taken = [task.need for task in self.tasks.values()]
+        return self.vitals.capacity().less(*taken)
 
     def start(self, owner: owners.Owner, order: messages.StartTasks) -> None:
         """Start what fits; refuse the rest at once."""
@@ -207,12 +201,7 @@
             if other.owner is not owner:
                 self.stop_task(other)
             return messages.Refusal.conflict
-        free = self.free()
-        if (
-            free.cpu < order.need.cpu
-            or free.memory_mb < order.need.memory_mb
-            or free.gpus < order.need.gpus
-        ):
+        if not self.free().covers(order.need):
             return messages.Refusal.no_room
         return None
 
@@ -427,15 +416,3 @@
             task=task.run.index,
             reason=details,
         )
-
-
-def _gauges(runs: Executor) -> dict[str, float]:
-    free = runs.free()
-    return {
-        'accepting': runs.accepting(),
-        'runs_in_progress': len(runs.tasks),
-        'free_cpu_thousandths': free.cpu,
-        'free_memory_mb': free.memory_mb,
-        'slowness': runs.slowness.value(),
-        'lease_suspended': runs.lease.suspended,
-    }
--- a/src/poplardrum/dispatch/figures.py
+++ b/src/poplardrum/dispatch/figures.py
@@ -16,12 +16,9 @@
 class Figures:
     """Figures by name and one label; names come from this program."""
 
-    def __init__(
-        self,
-        gauges: typing.Callable[[], dict[str, float]],
-    ) -> None:
-        """Read present values from `gauges` at each scrape."""
-        self.gauges = gauges
+    def __init__(self) -> None:
+        """Start with nothing; `gauges` is read at each scrape."""
+        self.gauges: typing.Callable[[], dict[str, float]] = dict
         self.counts: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -57,12 +57,11 @@
             need.gpus * count,
         )
         self.in_flight.append((self.orders, total))
-        self.free = _less(self.free, total)
+        self.free = self.free.less(total)
 
     def ended(self, need: messages.Need) -> None:
         """Count the room of a task that ended until the next report."""
-        self.free = _less(
-            self.free,
+        self.free = self.free.less(
             messages.Need(-need.cpu, -need.memory_mb, -need.gpus),
         )
 
@@ -77,7 +76,7 @@
             self.in_flight.popleft()
         self.free = load.free
         for _, total in self.in_flight:
-            self.free = _less(self.free, total)
+            self.free = self.free.less(total)
 
     def connected(self, link: messages.Link) -> None:
         """Start on a new connection, on which no order was sent yet."""
@@ -98,11 +97,3 @@
 
 
 _UNBOUNDED: typing.Final = 64
-
-
-def _less(room: messages.Need, taken: messages.Need) -> messages.Need:
-    return messages.Need(
-        room.cpu - taken.cpu,
-        room.memory_mb - taken.memory_mb,
-        room.gpus - taken.gpus,
-    )
--- a/src/poplardrum/dispatch/intake.py
+++ b/src/poplardrum/dispatch/intake.py
@@ -60,7 +60,8 @@
         self.open_requests = 0
         self.began = clocks.now()
         self.most_usable = 0
-        self.figures = figures.Figures(self._gauges)
+        self.figures = figures.Figures()
+        self.figures.gauges = self._gauges
         self.predictors: dict[str, estimates.WorkPredictor] = {}
         self.stop_at = math.inf
         self.stopping = False
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -45,6 +45,22 @@
     memory_mb: int
     gpus: int
 
+    def covers(self, need: 'Need') -> bool:
+        """Return whether this room is enough."""
+        return (
+            self.cpu >= need.cpu
+            and self.memory_mb >= need.memory_mb
+            and self.gpus >= need.gpus
+        )
+
+    def less(self, *taken: 'Need') -> 'Need':
+        """Return the room that is left."""
+        return Need(
+            self.cpu - sum(need.cpu for need in taken),
+            self.memory_mb - sum(need.memory_mb for need in taken),
+            self.gpus - sum(need.gpus for need in taken),
+        )
+
 
 class TaskRun(msgspec.Struct, frozen=True, array_like=True):
     """One task by its position in the job, and the number of this run."""
--- a/src/poplardrum/dispatch/watching.py
+++ b/src/poplardrum/dispatch/watching.py
@@ -165,3 +165,16 @@
             beat.service if beat else '',
             beat.labels if beat else [],
         )
+
+
+def gauges(runs: executor.Executor) -> dict[str, float]:
+    """Return the present values of an agent."""
+    free = runs.free()
+    return {
+        'accepting': runs.accepting(),
+        'runs_in_progress': len(runs.tasks),
+        'free_cpu_thousandths': free.cpu,
+        'free_memory_mb': free.memory_mb,
+        'slowness': runs.slowness.value(),
+        'lease_suspended': runs.lease.suspended,
+    }
