Acknowledge completions only on the connection of the last report

Change: one connection carries all report requests; a number other than 0 is sent on the connection that brought the last report, or not at all (new result 'unsent'). A process that was paused can no longer act on what it knew. The stand-in also breaks idle connections at a crash, as a process that ends does; before, they went on to its next incarnation.

Ruled out: a check of born in the reply comes too late, the completions are dropped by then; Poplardrum-Expected-Instance does not tell two incarnations under one id apart.

Test: TestEndpointClient.test_acknowledgement_reaches_its_incarnation_only, failed before.

--- a/src/poplardrum/dispatch/polling.py
+++ b/src/poplardrum/dispatch/polling.py
@@ -96,7 +96,8 @@
             else None
         )
         # The endpoint may have restarted; a number of its earlier incarnation
-        # would make it drop completions that were never listed.
+        # would make it drop completions that were never listed. The client
+        # sends a number only on the connection of the last report.
         acknowledged = (
             task_executor.completions.acknowledged_up_to()
             if self.last_report_answered
@@ -126,6 +127,8 @@
             self._record_answer(now)
             task_executor.lease.raise_token_after_fencing(reply.clock_ms)
             return
+        if reply.result is endpoints.RequestResult.unsent:
+            return
         self._record_failure(now, reply.result)
         await asyncio.sleep(_RETRY_INTERVAL_S)
 
--- a/src/poplardrum/platform/endpoints.py
+++ b/src/poplardrum/platform/endpoints.py
@@ -26,7 +26,8 @@
 class RequestResult(enum.Enum):
     """Result of a request to the endpoint.
 
-    After `unanswered` the endpoint may still carry out the request.
+    After `unanswered` the endpoint may still carry out the request. `unsent`
+    means that nothing was sent, since the expected connection was closed.
     """
 
     accepted = 'accepted'
@@ -37,6 +38,7 @@
     unhealthy = 'unhealthy'
     invalid = 'invalid'
     unanswered = 'unanswered'
+    unsent = 'unsent'
 
 
 _RESULTS_BY_REASON: typing.Final = {
@@ -185,10 +187,18 @@
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=max_connections),
         )
+        # One connection carries all report requests. Each incarnation of the
+        # endpoint accepts its own, so a request on the connection of the last
+        # report reaches the incarnation that sent that report, or none.
+        self.report_session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=1),
+            trace_configs=[_forbid_new_connections()],
+        )
 
     async def close(self) -> None:
         """Close the connections."""
         await self.session.close()
+        await self.report_session.close()
 
     async def start(
         self,
@@ -238,14 +248,25 @@
 
         The lease stays as it is if `until_ms` is `None`. The endpoint waits
         up to `wait_s` for a completion. It drops those up to the number
-        `last_seen`, so they are not reported again.
+        `last_seen`, so they are not reported again. Such a number is valid
+        for one incarnation of the endpoint: unless it is 0, the request is
+        sent only on the connection of the last report, else it is `unsent`.
         """
         request_body = {'FencingToken': fencing_token, 'LastSeen': last_seen}
         if until_ms is not None:
             request_body['UntilMs'] = until_ms
         if wait_s:
             request_body['WaitMs'] = int(wait_s * _MS_PER_S)
-        status, body = await self._post('/hold', request_body, timeout_s)
+        try:
+            status, body = await self._post(
+                '/hold',
+                request_body,
+                timeout_s,
+                session=self.report_session,
+                reuse_connection=last_seen > 0,
+            )
+        except _NewConnectionError:
+            return Reply(RequestResult.unsent)
         if status != _HTTP_OK:
             return _decode_reply(status, body)
         try:
@@ -267,19 +288,43 @@
         path: str,
         request_body: dict[str, typing.Any],
         timeout_s: float,
+        *,
+        session: aiohttp.ClientSession | None = None,
+        reuse_connection: bool = False,
     ) -> tuple[int, bytes]:
         try:
-            async with self.session.post(
+            async with (session or self.session).post(
                 self.base_url + path,
                 data=msgspec.json.encode(request_body),
                 headers=_JSON_HEADERS,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
+                trace_request_ctx=reuse_connection,
             ) as response:
                 return response.status, await response.read()
         except (aiohttp.ClientError, asyncio.TimeoutError, OSError):
             return 0, b''
 
 
+class _NewConnectionError(Exception):
+    """A request that must reuse a connection would open a new one."""
+
+
+def _forbid_new_connections() -> aiohttp.TraceConfig:
+    """Return a trace that aborts such a request before it is sent."""
+
+    async def check(
+        session: aiohttp.ClientSession,
+        context: typing.Any,
+        details: aiohttp.TraceConnectionCreateStartParams,
+    ) -> None:
+        if context.trace_request_ctx:
+            raise _NewConnectionError
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_start.append(check)
+    return trace
+
+
 def _decode_reply(status: int, body: bytes) -> Reply:
     if not status:
         return Reply(RequestResult.unanswered)
--- a/src/poplardrum/standins/worker.py
+++ b/src/poplardrum/standins/worker.py
@@ -6,6 +6,7 @@
 import random
 import time
 import typing
+import weakref
 
 import aiohttp
 from aiohttp import web
@@ -54,6 +55,9 @@
         self.late_share = 0.0
         # While true, connections are reset and no heartbeats are sent.
         self.is_crashed = False
+        self.transports: weakref.WeakSet[asyncio.BaseTransport] = (
+            weakref.WeakSet()
+        )
         self.random = random.Random()
 
     def application(self) -> web.Application:
@@ -67,6 +71,13 @@
             app.router.add_post(path, self._with_faults(handler))
         return app
 
+    def crash(self) -> None:
+        """Stop answering; all connections break, idle ones too."""
+        self.is_crashed = True
+        for transport in list(self.transports):
+            typing.cast(asyncio.Transport, transport).abort()
+        self.transports.clear()
+
     def restart(self) -> None:
         """Restart under the same name, without runs, completions and token."""
         self.endpoint = leased_endpoint.LeasedEndpoint(self.profile.max_lease_s)
@@ -92,8 +103,10 @@
 
     def _with_faults(self, handler: Handler) -> Handler:
         async def handle(request: web.Request) -> web.Response:
-            if self.is_crashed and request.transport is not None:
-                request.transport.abort()
+            if request.transport is not None:
+                self.transports.add(request.transport)
+                if self.is_crashed:
+                    request.transport.abort()
             late = self.random.random() < self.late_share
             reply_lost = late or self.random.random() < self.lost_share
             if late:
--- a/tests/test_platform_users.py
+++ b/tests/test_platform_users.py
@@ -13,7 +13,7 @@
 from poplardrum.dispatch import membership
 from poplardrum.platform import endpoints, job_api, kv, settings_file, store
 from poplardrum.standins import kv as kv_stand_in
-from poplardrum.standins import ports
+from poplardrum.standins import ports, worker
 
 
 def encoded(text: str) -> str:
@@ -21,6 +21,58 @@
     return base64.b64encode(text.encode()).decode()
 
 
+class TestEndpointClient(unittest.IsolatedAsyncioTestCase):
+    """Report requests to an endpoint that restarts under its old name."""
+
+    async def asyncSetUp(self) -> None:
+        """Serve an endpoint and connect to it."""
+        address = ('127.0.0.1', ports.free_ports(1)[0])
+        self.stand_in = worker.WorkerStandIn(
+            'i-1', address, worker.EndpointProfile()
+        )
+        runner = web.AppRunner(
+            self.stand_in.application(), shutdown_timeout=0.1
+        )
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, *address).start()
+        self.client = endpoints.EndpointClient(address, 4)
+        self.addAsyncCleanup(self.client.close)
+
+    async def fetch(self, last_seen: int) -> endpoints.Report | endpoints.Reply:
+        """Request a report and acknowledge completions."""
+        return await self.client.fetch_report(
+            fencing_token=1,
+            last_seen=last_seen,
+            until_ms=None,
+            wait_s=0,
+            timeout_s=5,
+        )
+
+    async def test_acknowledgement_reaches_its_incarnation_only(self) -> None:
+        """Guards against a number that acknowledges unlisted completions.
+
+        An agent that was paused while its endpoint restarted acknowledged
+        completions of the next incarnation before they were listed, and their
+        tasks were started again. Found by the soak with seed 2.
+        """
+        self.assertIsInstance(await self.fetch(0), endpoints.Report)
+        self.assertIsInstance(await self.fetch(3), endpoints.Report)
+        self.assertEqual(self.stand_in.endpoint.acknowledged_id, 3)
+        self.stand_in.crash()
+        self.stand_in.restart()
+        self.stand_in.is_crashed = False
+        # The first request may still be written to the broken connection.
+        self.assertIsInstance(await self.fetch(5), endpoints.Reply)
+        self.assertEqual(
+            await self.fetch(5),
+            endpoints.Reply(endpoints.RequestResult.unsent),
+        )
+        self.assertEqual(self.stand_in.endpoint.acknowledged_id, 0)
+        self.assertIsInstance(await self.fetch(0), endpoints.Report)
+        self.assertIsInstance(await self.fetch(1), endpoints.Report)
+
+
 class TestStore(unittest.IsolatedAsyncioTestCase):
     """The store's adapter against its stand-in."""
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -146,7 +146,7 @@
     async def _replace_endpoint(self, stand_in: worker.WorkerStandIn) -> None:
         if stand_in.is_crashed:
             return
-        stand_in.is_crashed = True
+        stand_in.crash()
         previous = typing.cast(checks.WatchedEndpoint, stand_in.endpoint)
         previous.running.clear()
         self.ledger.endpoints.remove(previous)
