Mend three tests that waited for what had happened already

Cause, FaultTest.test_cancel_one_job and test_agent_paused_briefly: wait_running read what the endpoint had started after the job was submitted. If its tasks had started by then, it waited for a second round of tasks: 12 instead of 6 (30 s tasks), or none within 60 s (6 tasks of 9 s). Trace: with a pause of 1 s before that read, test_cancel_one_job gives '12 != 6' each time. The starts are now read before the submission; counts and bounds are unchanged.

Cause, MembershipTest.test_leaving_by_rule: the second edit goes to entry 1, which may not have applied the first one yet ('conflict with base 0', a true refusal). Fleet.apply_everywhere waits until all entries have applied it.

--- a/src/poplardrum/standins/fleet.py
+++ b/src/poplardrum/standins/fleet.py
@@ -243,6 +243,22 @@
         ]
         return codes
 
+    def apply_everywhere(
+        self, rules: typing.Mapping[str, str], entry: int = 0
+    ) -> None:
+        """Write rule files and wait until every entry has applied them.
+
+        Raises `RuntimeError` if the edit is refused.
+        """
+        number = self.apply(rules, entry)
+        wait_until(
+            lambda: all(
+                self.status(index)['config'] >= number
+                for index, _ in enumerate(self.entries)
+            ),
+            f'configuration {number} is applied',
+        )
+
     def apply(self, rules: typing.Mapping[str, str], entry: int = 0) -> int:
         """Write or replace rule files and return the new number.
 
--- a/tests/test_execution_faults.py
+++ b/tests/test_execution_faults.py
@@ -148,14 +148,20 @@
         }
         return self.pool.submit(self.call, 'POST', '/v1/jobs', body, key)
 
-    def wait_running(self, index: int) -> set[str]:
-        """Wait until an endpoint has filled its slots; return its tasks."""
-        before = set(self.endpoint(index)['starts'])
+    def started(self, index: int) -> set[str]:
+        """Return the tasks that an endpoint has started."""
+        return set(self.endpoint(index)['starts'])
+
+    def wait_running(self, index: int, before: set[str]) -> set[str]:
+        """Wait until an endpoint has filled its slots; return its tasks.
+
+        `before` has the tasks that it had started before the submission.
+        """
         fleet.wait_until(
-            lambda: len(self.endpoint(index)['starts']) >= len(before) + SLOTS,
+            lambda: len(self.started(index)) >= len(before) + SLOTS,
             f'endpoint {index} runs tasks',
         )
-        return set(self.endpoint(index)['starts']) - before
+        return self.started(index) - before
 
     def check_verdicts(
         self,
@@ -175,8 +181,9 @@
     def test_agent_killed(self) -> None:
         """Guards against a second start of what a killed agent ran."""
         payload = json.dumps({'seconds': 1.5})
+        before_submission = self.started(1)
         job = self.submit(key_for(0, 'killed'), 12, payload)
-        lost = self.wait_running(1)
+        lost = self.wait_running(1, before_submission)
         self.system.agents[1].kill()
         self.system.agents[1].start()
         _, reply = job.result()
@@ -187,8 +194,9 @@
     def test_agent_paused_briefly(self) -> None:
         """Guards against the loss of tasks that end while a link is down."""
         payload = json.dumps({'seconds': 9})
+        before_submission = self.started(1)
         job = self.submit(key_for(0, 'brief'), 6, payload)
-        self.wait_running(1)
+        self.wait_running(1, before_submission)
         self.system.agents[1].send_signal(signal.SIGSTOP)
         fleet.wait_until(
             lambda: self.system.count_linked_agents() == WORKERS - 1,
@@ -223,8 +231,9 @@
     def test_endpoint_killed(self) -> None:
         """Guards against a second start of what a killed endpoint ran."""
         payload = json.dumps({'seconds': 3})
+        before_submission = self.started(1)
         job = self.submit(key_for(0, 'endpoint'), 12, payload)
-        lost = self.wait_running(1)
+        lost = self.wait_running(1, before_submission)
         before = self.system.starts()
         self.system.endpoints[1].kill()
         try:
@@ -245,8 +254,9 @@
     def test_endpoint_leaves(self) -> None:
         """Guards against new work at a leaving endpoint after 2 s."""
         payload = json.dumps({'seconds': 0.5})
+        before_submission = self.started(1)
         job = self.submit(key_for(1, 'leaving'), 40, payload)
-        self.wait_running(1)
+        self.wait_running(1, before_submission)
         self.switch(1, state='leaving')
         time.sleep(2)
         at_limit = len(self.endpoint(1)['starts'])
@@ -260,8 +270,9 @@
         """Guards against cancelled tasks that run on and false verdicts."""
         payload = json.dumps({'seconds': 30})
         keys = [key_for(number % 3, f'wave-{number}') for number in range(6)]
+        before_submission = self.started(1)
         jobs = [self.submit(key, 10, payload) for key in keys]
-        self.wait_running(1)
+        self.wait_running(1, before_submission)
         for key in keys:
             self.pool.submit(self.call, 'DELETE', f'/v1/jobs/{key}')
         replies = [job.result()[1] for job in jobs]
@@ -275,8 +286,9 @@
     def test_cancel_one_job(self) -> None:
         """Guards against starts of queued tasks after a cancellation."""
         key = key_for(0, 'cancel')
+        before_submission = self.started(1)
         job = self.submit(key, 60, json.dumps({'seconds': 30}))
-        self.wait_running(1)
+        self.wait_running(1, before_submission)
         self.call('DELETE', f'/v1/jobs/{key}')
         _, reply = job.result()
         verdicts = self.check_verdicts(reply, self.system.starts())
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -89,7 +89,8 @@
     def test_leaving_by_rule(self) -> None:
         """Guards against an operator's rule that has no effect."""
         rule = '[worker agent-2]\nstate = {0}\n'
-        self.fleet.apply({'50-leave.ini': rule.format('leaving')})
+        # An edit names the configuration that its entry has applied.
+        self.fleet.apply_everywhere({'50-leave.ini': rule.format('leaving')})
         self.wait_state(2, 'leaving')
         before = self.fleet.endpoint_starts(2)
         for number in range(10):
