Survive malformed frames, reports and headers, and restart failed loops

Link.receive_hello serves both sides now, and an agent dials again after any error of a link, with a log line. - Link.flush wrote to a closed transport (RuntimeError in a callback). - a short row in a report raised IndexError, which ended the agent's process. The whole report counts as unanswered: without one of its rows it would end a run that is still active. - a client timeout of nan, inf or below 0 was taken as it was. - an ejected worker that the table evicted stayed ejected. - any exception of a background loop ended the process with os._exit. The loop is logged and runs again after 0.1 s; more than 20 failures in a minute end the process.

Not done here: RecordTable.add and the tombstone of a running query, and metrics that are never incremented.

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -86,6 +86,11 @@
                 delay = _MIN_BACKOFF_S
             except (OSError, TimeoutError):
                 delay = min(_BACKOFF_FACTOR * delay, _MAX_BACKOFF_S)
+            except Exception:
+                # One message must not cost the link to an entry for ever.
+                self.executor.metrics.increment('errors', 'entry link')
+                logger.exception('link to %s failed', address)
+                delay = _MAX_BACKOFF_S
             await asyncio.sleep(delay * random.uniform(0.5, 1))
 
     async def _connect(self, address: ini.Address) -> None:
@@ -121,11 +126,9 @@
     async def _handshake(
         self, link: messages.Link
     ) -> entry_sessions.EntrySession:
-        first, *rest = await link.receive(timing.LINK_TIMEOUT_S)
-        if not isinstance(first, messages.EntryHello):
-            raise errors.uncertain_outcome(
-                errors.Code.link_lost, 'first message is not a hello'
-            )
+        first, rest = await link.receive_hello(
+            messages.EntryHello, timing.LINK_TIMEOUT_S
+        )
         for other in list(self.sessions.values()):
             if other.node == first.node and (
                 other.incarnation != first.incarnation
@@ -318,15 +321,27 @@
             metrics_address,
             settings.listeners,
         )
-        for background_loop in (
-            polling.EndpointPoller(task_executor).run(),
-            agent.reporter.run(),
-            agent.resend_completions(),
-            settings.watch(lifecycle.reload_event()),
-            _find_entries(agent, kv_store, config),
-            _restore_status(task_executor, kv_store, config.node),
-        ):
-            stack.callback(lifecycle.supervise(background_loop).cancel)
+        background_loops: list[tuple[str, lifecycle.BackgroundLoop]] = [
+            ('endpoint reports', polling.EndpointPoller(task_executor).run),
+            ('load reports', agent.reporter.run),
+            ('completions', agent.resend_completions),
+            (
+                'settings',
+                functools.partial(settings.watch, lifecycle.reload_event()),
+            ),
+            (
+                'entries',
+                functools.partial(_find_entries, agent, kv_store, config),
+            ),
+            (
+                'endpoint status',
+                functools.partial(
+                    _restore_status, task_executor, kv_store, config.node
+                ),
+            ),
+        ]
+        lifecycle.supervise_all(stack, background_loops)
+
         await stopping.wait()
         logger.info('stopping')
         await _drain(task_executor, settings.config.grace)
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import typing
 
@@ -117,16 +118,26 @@
         await lifecycle.serve_connections(
             stack, agent_links.serve, config.peers, listening
         )
-        for background_loop in (
-            route_table.watch(kv_store),
-            announcement.run(),
-            _watch_members(
-                agent_links, kv_store, announcement, services.writer
+        background_loops: list[tuple[str, lifecycle.BackgroundLoop]] = [
+            ('configuration', functools.partial(route_table.watch, kv_store)),
+            ('announcement', announcement.run),
+            (
+                'members',
+                functools.partial(
+                    _watch_members,
+                    agent_links,
+                    kv_store,
+                    announcement,
+                    services.writer,
+                ),
+            ),
+            (
+                'settings',
+                functools.partial(settings.watch, lifecycle.reload_event()),
             ),
             *services.background_loops(),
-            settings.watch(lifecycle.reload_event()),
-        ):
-            stack.callback(lifecycle.supervise(background_loop).cancel)
+        ]
+        lifecycle.supervise_all(stack, background_loops)
         await lifecycle.serve_http(
             stack, handler.handle_readiness, config.readiness, listening
         )
--- a/src/poplardrum/dispatch/lifecycle.py
+++ b/src/poplardrum/dispatch/lifecycle.py
@@ -10,12 +10,15 @@
 from aiohttp import web
 
 from poplardrum import ini
-from poplardrum.dispatch import messages
+from poplardrum.dispatch import clocks, messages
 from poplardrum.platform import listeners
 
 logger = logging.getLogger(__name__)
 
 _FAULT_EXIT_CODE: typing.Final = 70
+_RESTART_DELAY_S: typing.Final = 0.1
+_FAILURE_WINDOW_S: typing.Final = 60.0
+_MAX_FAILURES: typing.Final = 20
 _LISTEN_BACKLOG: typing.Final = 1024
 # Time for requests that arrive while a server closes.
 SHUTDOWN_TIMEOUT_S: typing.Final = 0.9
@@ -40,23 +43,60 @@
     return reload_requested
 
 
+BackgroundLoop = typing.Callable[
+    [], typing.Coroutine[typing.Any, typing.Any, None]
+]
+
+
 def supervise(
-    coroutine: typing.Coroutine[typing.Any, typing.Any, None],
+    name: str,
+    background_loop: BackgroundLoop,
+    *,
+    restart_delay_s: float = _RESTART_DELAY_S,
+    exit_process: typing.Callable[[int], object] = os._exit,
 ) -> asyncio.Task[None]:
-    """Run a background task; an exception in it ends the process."""
-    task = asyncio.ensure_future(coroutine)
-    task.add_done_callback(_exit_on_error)
-    return task
+    """Run a background loop, and run it again after an exception.
 
+    A loop that fails too often within a minute ends the process, which is
+    then replaced as a whole.
+    """
+    return asyncio.ensure_future(
+        _keep_running(name, background_loop, restart_delay_s, exit_process)
+    )
 
-def _exit_on_error(task: asyncio.Task[None]) -> None:
-    if task.cancelled():
-        return
-    error = task.exception()
-    if error is not None:
-        logger.critical('background task failed', exc_info=error)
-        # A process that has lost a background task is replaced as a whole.
-        os._exit(_FAULT_EXIT_CODE)
+
+def supervise_all(
+    stack: contextlib.AsyncExitStack,
+    background_loops: typing.Iterable[tuple[str, BackgroundLoop]],
+) -> None:
+    """Supervise background loops, with their names, until the stack closes."""
+    for name, background_loop in background_loops:
+        stack.callback(supervise(name, background_loop).cancel)
+
+
+async def _keep_running(
+    name: str,
+    background_loop: BackgroundLoop,
+    restart_delay_s: float,
+    exit_process: typing.Callable[[int], object],
+) -> None:
+    failed_at: list[float] = []
+    while True:
+        try:
+            await background_loop()
+        except Exception:
+            logger.exception('background loop failed: %s', name)
+        else:
+            return
+        now = clocks.now()
+        failed_at = [at for at in failed_at if now - at < _FAILURE_WINDOW_S] + [
+            now
+        ]
+        if len(failed_at) > _MAX_FAILURES:
+            logger.critical('background loop fails again and again: %s', name)
+            exit_process(_FAULT_EXIT_CODE)
+            return
+        await asyncio.sleep(restart_delay_s)
 
 
 @contextlib.contextmanager
--- a/src/poplardrum/dispatch/links.py
+++ b/src/poplardrum/dispatch/links.py
@@ -66,11 +66,9 @@
             log_events.emit(logger, 'agent lost', agent=peer.node)
 
     async def _handshake(self, link: messages.Link) -> fleet.Agent:
-        first, *rest = await link.receive(timing.LINK_TIMEOUT_S)
-        if not isinstance(first, messages.AgentHello):
-            raise errors.uncertain_outcome(
-                errors.Code.link_lost, 'first message is not a hello'
-            )
+        first, rest = await link.receive_hello(
+            messages.AgentHello, timing.LINK_TIMEOUT_S
+        )
         peer = self.coordinator.agents.get(first.incarnation)
         if peer is None:
             peer = fleet.Agent(first.node, first.zone, first.incarnation)
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -224,6 +224,8 @@
     | CompletionsAcknowledged
 )
 
+HelloMessage = typing.TypeVar('HelloMessage', AgentHello, EntryHello)
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(list[AnyMessage])
 
@@ -265,6 +267,10 @@
         """
         if self.closed or not self.pending:
             return
+        if self.writer.transport.is_closing():
+            # The end of the connection has not been read yet.
+            self.abort()
+            return
         body = _encoder.encode(self.pending)
         self.pending = []
         length = len(body).to_bytes(_LENGTH_BYTES, 'big')
@@ -293,6 +299,19 @@
         except (EOFError, OSError, ValueError) as error:
             raise _link_lost(repr(error)) from None
 
+    async def receive_hello(
+        self, kind: type[HelloMessage], timeout_s: float
+    ) -> tuple[HelloMessage, list[AnyMessage]]:
+        """Return the hello that a peer sends first, and what follows it.
+
+        Raise `link_lost` as `receive` does, or if the first message is of
+        another kind.
+        """
+        received = await self.receive(timeout_s)
+        if not received or not isinstance(received[0], kind):
+            raise _link_lost('first message is not a hello')
+        return received[0], received[1:]
+
     def abort(self) -> None:
         """Close the connection without sending queued bytes."""
         if not self.closed:
--- a/src/poplardrum/dispatch/stored_job_services.py
+++ b/src/poplardrum/dispatch/stored_job_services.py
@@ -1,9 +1,11 @@
 """Set-up of an entry's services for stored jobs."""
 
+import functools
 import typing
 
 from poplardrum.dispatch import (
     coordinator,
+    lifecycle,
     membership,
     ownership,
     record_writer,
@@ -55,14 +57,19 @@
 
     def background_loops(
         self,
-    ) -> list[typing.Coroutine[typing.Any, typing.Any, None]]:
-        """Return the coroutines that have to run all the time."""
+    ) -> list[tuple[str, lifecycle.BackgroundLoop]]:
+        """Return the loops that have to run all the time, by name."""
         return [
-            self.writer.run(),
-            self.ownership.monitor_validity(_VALIDITY_CHECK_INTERVAL_S),
-            self.takeover.run(),
-            self.takeover.look_up_unclaimed(),
-            self.stored_jobs.poll_cancels(),
-            self.stored_jobs.publish_counts(),
-            self.stored_jobs.remove_expired_records(),
+            ('records', self.writer.run),
+            (
+                'ownership',
+                functools.partial(
+                    self.ownership.monitor_validity, _VALIDITY_CHECK_INTERVAL_S
+                ),
+            ),
+            ('takeover', self.takeover.run),
+            ('unclaimed jobs', self.takeover.look_up_unclaimed),
+            ('cancellations', self.stored_jobs.poll_cancels),
+            ('job counts', self.stored_jobs.publish_counts),
+            ('expired records', self.stored_jobs.remove_expired_records),
         ]
--- a/src/poplardrum/platform/endpoints.py
+++ b/src/poplardrum/platform/endpoints.py
@@ -16,6 +16,7 @@
 _MS_PER_S: typing.Final = 1000
 _HEARTBEAT_PATH_PREFIX: typing.Final = '/instances/'
 
+_MIN_RUN_FIELDS: typing.Final = 4
 # In one report.
 MAX_LISTED_COMPLETIONS: typing.Final = 500
 
@@ -346,6 +347,17 @@
 
 
 def _build_report(body: _ReportBody) -> Report:
+    """Return the report; raise `ValueError` if a row is malformed.
+
+    A report without one of its rows would end a run that is still active.
+    """
+    for row in body.running:
+        if len(row) < _MIN_RUN_FIELDS or not (
+            isinstance(row[0], str)
+            and isinstance(row[1], int)
+            and isinstance(row[3], int)
+        ):
+            raise ValueError(f'malformed run {row!r}')
     return Report(
         body.clock_ms,
         body.born,
--- a/src/poplardrum/platform/job_api.py
+++ b/src/poplardrum/platform/job_api.py
@@ -1,5 +1,6 @@
 """Wire formats of the users' platform: routes, jobs and replies."""
 
+import math
 import string
 import typing
 
@@ -13,6 +14,7 @@
 RETRY_AFTER_HEADER: typing.Final = 'Retry-After'
 _JOB_ID_HEX_DIGITS: typing.Final = 16
 _MS_PER_S: typing.Final = 1000
+_MAX_CLIENT_TIMEOUT_S: typing.Final = 86400.0
 _MAX_SPECIFICATION_BYTES: typing.Final = 4000
 _MAX_TASKS_PER_JOB: typing.Final = 1024
 
@@ -172,11 +174,18 @@
 def read_client_timeout(
     headers: typing.Mapping[str, str], default: float
 ) -> float:
-    """Return how long the client waits, in seconds."""
+    """Return how long the client waits, in seconds.
+
+    A header that is missing or is no positive finite number gives `default`;
+    longer times than a day are cut.
+    """
     try:
-        return float(headers[CLIENT_TIMEOUT_HEADER]) / _MS_PER_S
+        timeout = float(headers[CLIENT_TIMEOUT_HEADER]) / _MS_PER_S
     except (KeyError, ValueError):
         return default
+    if not math.isfinite(timeout) or timeout <= 0:
+        return default
+    return min(timeout, _MAX_CLIENT_TIMEOUT_S)
 
 
 def _prefix_length(route: Route) -> int:
--- a/src/poplardrum/scheduling/ejection.py
+++ b/src/poplardrum/scheduling/ejection.py
@@ -95,11 +95,13 @@
         self.pairs = lru.LruTable[PairKey, OutcomeCounts](
             _MAX_PAIRS, OutcomeCounts
         )
+        self.ejected: set[ids.MemberId] = set()
+        # Nothing is known of an evicted worker, not even that it was ejected.
         self.workers = lru.LruTable[ids.MemberId, WorkerHealth](
             _MAX_WORKERS,
             WorkerHealth,
+            self.ejected.discard,
         )
-        self.ejected: set[ids.MemberId] = set()
 
     def record(
         self,
--- a/src/poplardrum/scheduling/lru.py
+++ b/src/poplardrum/scheduling/lru.py
@@ -14,8 +14,13 @@
         self,
         max_rows: int,
         factory: typing.Callable[[], Value],
+        on_evicted: typing.Callable[[Key], object] | None = None,
     ) -> None:
-        """Start empty; `factory` creates the value of a new key."""
+        """Start empty; `factory` creates the value of a new key.
+
+        `on_evicted` is called with each key that makes room for another.
+        """
+        self.on_evicted = on_evicted
         self.max_rows = max_rows
         self.factory = factory
         self.rows: collections.OrderedDict[Key, Value] = (
@@ -41,6 +46,8 @@
             row = self.factory()
             self.rows[key] = row
             if len(self.rows) > self.max_rows:
-                self.rows.popitem(last=False)
+                evicted, _ = self.rows.popitem(last=False)
+                if self.on_evicted is not None:
+                    self.on_evicted(evicted)
         self.rows.move_to_end(key)
         return row
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -214,6 +214,13 @@
         return answer
 
 
+class AgentConfig(typing.NamedTuple):
+    """The settings that an agent's links use."""
+
+    node: str = 'side-1'
+    zone: str = 'toledo'
+
+
 class World:
     """An executor with its poller, a fake endpoint and one entry."""
 
--- a/tests/test_platform_users.py
+++ b/tests/test_platform_users.py
@@ -73,6 +73,71 @@
         self.assertIsInstance(await self.fetch(1), endpoints.Report)
 
 
+class TestReports(unittest.IsolatedAsyncioTestCase):
+    """Reports of an endpoint that are malformed."""
+
+    rows: typing.Final[tuple[list[object], ...]] = (
+        ['task'],
+        [],
+        ['task', 1, ''],
+        ['task', 1, '', 'x'],
+        [1, 1, '', 1],
+    )
+
+    async def test_malformed_run(self) -> None:
+        """Guards against a short row that ends the agent's process."""
+        body: list[typing.Any] = []
+
+        async def reply(_request: web.Request) -> web.Response:
+            return web.json_response({'ClockMs': 5, 'Running': body})
+
+        application = web.Application()
+        application.router.add_post('/hold', reply)
+        address = ('127.0.0.1', ports.free_ports(1)[0])
+        runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, *address).start()
+        client = endpoints.EndpointClient(address, 4)
+        self.addAsyncCleanup(client.close)
+        for row in self.rows:
+            with self.subTest(row=row):
+                body[:] = [row]
+                report = await client.fetch_report(
+                    fencing_token=1,
+                    last_seen=0,
+                    until_ms=None,
+                    wait_s=0,
+                    timeout_s=5,
+                )
+                self.assertEqual(
+                    report,
+                    endpoints.Reply(endpoints.RequestResult.unanswered),
+                )
+
+
+class TestClientTimeouts(unittest.TestCase):
+    """The header that says how long a client waits."""
+
+    def test_malformed_times(self) -> None:
+        """Guards against deadlines that never come or are not comparable."""
+        for text, expected in (
+            ('1500', 1.5),
+            ('nan', 10),
+            ('inf', 10),
+            ('-5', 10),
+            ('0', 10),
+            ('x', 10),
+            ('', 10),
+            ('1e300', 86400),
+        ):
+            with self.subTest(text=text):
+                headers = {job_api.CLIENT_TIMEOUT_HEADER: text}
+                self.assertEqual(
+                    job_api.read_client_timeout(headers, 10), expected
+                )
+
+
 class TestStore(unittest.IsolatedAsyncioTestCase):
     """The store's adapter against its stand-in."""
 
--- a/tests/test_scheduling_learning.py
+++ b/tests/test_scheduling_learning.py
@@ -154,6 +154,15 @@
                     fleet_size=FLEET_SIZE,
                 )
 
+    def test_evicted_worker_is_forgotten(self) -> None:
+        """Fails if a worker stays ejected of which nothing is known."""
+        ejector = ejection.Ejector()
+        self.run_rounds(ejector, lambda worker, kind, now: worker == 4)
+        ejector.workers.max_rows = FLEET_SIZE
+        for worker in range(FLEET_SIZE, 2 * FLEET_SIZE):
+            ejector.workers.get_or_create(worker_id(worker))
+        self.assertEqual(ejector.ejected, set())
+
     def test_worker_that_fails_everything_is_ejected(self) -> None:
         """Fails if a worker that fails all tasks is not ejected."""
         ejector = ejection.Ejector()
