Bound an agent's links and ping only where something runs or is silent

Cause: every agent linked to every entry, and each link carried a ping each way every 0.15 s: on the large site (35 entries, 160 agents) 5,600 links and near 75,000 frames a second with no job at all.

Links with runs keep 0.15 s and 0.6 s; idle ones share 60 pings a second, at most 1 s apart. An agent that owes a pong gets no tasks. - entry_sessions: since an idle link may be silent for longer, a start that follows 0.3 s of silence waits for a sign of life of its entry, and no start is sent to the endpoint unless the entry was heard of within 0.6 s. So a delayed start, or one that a paused process carries out later, does not run. - fleet, jobs: an agent knows its placed tasks; the loss of an agent and a load report no longer look through all jobs or all agents.

Test: TestLostAgents.test_second_loss_within_the_timeout, failed without the guard.

LOST_AGENT_TIMEOUT_S rises from 1.98 to 2.35 s, since a start in transit counts now.

--- a/src/poplardrum/dispatch/commands.py
+++ b/src/poplardrum/dispatch/commands.py
@@ -60,7 +60,11 @@
         for _ in range(_MAX_START_ATTEMPTS):
             now = clocks.now()
             until_ms = self.lease.renew(now)
-            if until_ms is None or run.stopping:
+            if (
+                until_ms is None
+                or run.stopping
+                or not run.session.is_connected()
+            ):
                 break
             run.fencing_token = self.lease.fencing_token
             run.started_at = now
--- a/src/poplardrum/dispatch/completions.py
+++ b/src/poplardrum/dispatch/completions.py
@@ -53,6 +53,13 @@
         self.last_listed = number
         return True
 
+    def has_unclaimed(self) -> bool:
+        """Return whether completions are retained whose entry is unknown."""
+        return any(
+            retained.session is None or retained.session.link is None
+            for retained in self.unacknowledged.values()
+        )
+
     def acknowledged_up_to(self) -> int:
         """Return the number up to which the endpoint may drop completions."""
         return (
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -37,6 +37,7 @@
         self.zone = zone
         self.far_factor = far_factor
         self.agents: dict[ids.Incarnation, fleet.Agent] = {}
+        self.incarnations: dict[str, set[ids.Incarnation]] = {}
         self.jobs: dict[ids.JobId, jobs.Job] = {}
         # Jobs that may have tasks to place.
         self.pending_jobs: dict[ids.JobId, jobs.Job] = {}
@@ -69,6 +70,9 @@
         self.jobs.pop(job.id)
         self.pending_jobs.pop(job.id, None)
         self.stop_tasks(job)
+        for task in job.placed_tasks():
+            if task.agent is not None:
+                task.agent.untrack((job.id, task.index))
 
     def stop_tasks(self, job: jobs.Job) -> None:
         """Stop all placed tasks of a job."""
@@ -83,15 +87,22 @@
     def add_agent(self, agent: fleet.Agent) -> None:
         """Add an agent that has connected."""
         self.agents[agent.incarnation] = agent
+        self.incarnations.setdefault(agent.node, set()).add(agent.incarnation)
 
     def schedule_expiry(self, agent: fleet.Agent) -> None:
         """Expire a lost agent once none of its runs can be active any more.
 
         Its tasks are placed again only then, so that a task never runs twice
-        at the same time.
+        at the same time. A timer of an earlier loss does not count.
         """
+        agent.losses += 1
         loop = asyncio.get_running_loop()
-        loop.call_later(timing.LOST_AGENT_TIMEOUT_S, self._expire_agent, agent)
+        loop.call_later(
+            timing.LOST_AGENT_TIMEOUT_S,
+            self._expire_agent,
+            agent,
+            agent.losses,
+        )
 
     def handle_message(
         self, agent: fleet.Agent, message: messages.AnyMessage
@@ -193,10 +204,7 @@
             return
         now = asyncio.get_running_loop().time()
         for task in tasks:
-            task.phase = jobs.Phase.placed
-            task.run_number += 1
-            task.agent = agent
-            task.placed_at = now
+            task.place(job.id, agent, now)
         if not job.started:
             job.started_at = now
         job.last_placed_at = now
@@ -232,13 +240,17 @@
         )
 
     def _handle_load(self, agent: fleet.Agent, load: messages.Load) -> None:
+        had_room = agent.is_usable() and agent.free
         agent.apply_load(load)
         # A new agent process accepts tasks only when no run of its predecessor
         # is left, so the predecessor's tasks can be placed again.
-        for other in list(self.agents.values()) if load.accepting else ():
-            if other.node == agent.node and other is not agent:
-                self._expire_agent(other)
-        self.schedule_placement()
+        if load.accepting and len(self.incarnations[agent.node]) > 1:
+            for incarnation in list(self.incarnations[agent.node]):
+                if incarnation != agent.incarnation:
+                    other = self.agents[incarnation]
+                    self._expire_agent(other, other.losses)
+        if had_room != (agent.is_usable() and agent.free):
+            self.schedule_placement()
 
     def _handle_completion(
         self, agent: fleet.Agent, completion: messages.Completion
@@ -276,7 +288,7 @@
     def _complete_task(
         self, job: jobs.Job, task: jobs.Task, agent: fleet.Agent
     ) -> None:
-        task.phase = jobs.Phase.done
+        task.leave_agent(job.id, jobs.Phase.done)
         now = asyncio.get_running_loop().time()
         task.normalized_duration = (now - task.placed_at) / max(
             agent.slowness, _MIN_SLOWNESS
@@ -309,7 +321,7 @@
         unknown_runs = {
             (job, run.task_index, run.number) for job, run in active.runs
         }
-        for job, task in jobs.tasks_at(self.jobs.values(), agent):
+        for job, task in jobs.tasks_at(self.jobs, agent):
             key = (job.id, task.index, task.run_number)
             if key in unknown_runs:
                 unknown_runs.discard(key)
@@ -365,7 +377,7 @@
             )
 
     def _requeue(self, job: jobs.Job, task: jobs.Task) -> None:
-        task.phase = jobs.Phase.waiting
+        task.leave_agent(job.id, jobs.Phase.waiting)
         self.pending_jobs[job.id] = job
 
     def _find_placed_task(
@@ -385,12 +397,15 @@
             return None
         return job, task
 
-    def _expire_agent(self, agent: fleet.Agent) -> None:
-        if agent.link is not None:
+    def _expire_agent(self, agent: fleet.Agent, loss: int) -> None:
+        if agent.link is not None or agent.losses != loss:
             return
         if self.agents.pop(agent.incarnation, None) is None:
             return
-        for job, task in jobs.tasks_at(self.jobs.values(), agent):
+        self.incarnations[agent.node].discard(agent.incarnation)
+        if not self.incarnations[agent.node]:
+            self.incarnations.pop(agent.node)
+        for job, task in jobs.tasks_at(self.jobs, agent):
             self._requeue(job, task)
             task.avoided_nodes.add(agent.node)
         self.schedule_placement()
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -10,6 +10,7 @@
 from poplardrum.dispatch import (
     clocks,
     coordinator,
+    coverage,
     lifecycle,
     links,
     membership,
@@ -61,9 +62,7 @@
         index = found.index
         members = membership.decode(found.values)
         writer.set_entry_count(len(members))
-        agent_links.send_entries(
-            [member.address() for member in members.values()]
-        )
+        agent_links.send_entries(membership.to_entries(found))
         keys = {entry.key for entry in found.values}
         announcement.observe(announcement.key in keys)
 
@@ -102,6 +101,7 @@
             config.node,
             config.peers,
             ids.new_incarnation(),
+            config.zone,
         )
         services = stored_job_services.StoredJobServices(
             config, kv_store, job_coordinator, announcement
@@ -135,6 +135,13 @@
                 'settings',
                 functools.partial(settings.watch, lifecycle.reload_event()),
             ),
+            ('keep-alive', agent_links.keep_alive.run),
+            (
+                'service coverage',
+                functools.partial(
+                    coverage.watch, route_table, job_coordinator, announcement
+                ),
+            ),
             *services.background_loops(),
         ]
         lifecycle.supervise_all(stack, background_loops)
--- a/src/poplardrum/dispatch/entry_sessions.py
+++ b/src/poplardrum/dispatch/entry_sessions.py
@@ -1,10 +1,11 @@
 """Sessions of entries at an agent."""
 
+import asyncio
 import collections
 import typing
 
 from poplardrum import ids
-from poplardrum.dispatch import messages
+from poplardrum.dispatch import clocks, messages, timing
 
 # Older messages are dropped. A run whose completion is lost that way is missing
 # from `ActiveRuns`, so its task is queued again.
@@ -24,6 +25,10 @@
         self.node = node
         self.incarnation = incarnation
         self.link: messages.Link | None = None
+        # Number of active runs of this entry at the endpoint.
+        self.active_runs = 0
+        # How often the connection was lost.
+        self.losses = 0
         self.recent_messages: collections.deque[messages.Message] = (
             collections.deque(
                 maxlen=_MAX_RECENT_MESSAGES,
@@ -39,12 +44,51 @@
     def attach(self, link: messages.Link) -> None:
         """Continue on a new connection; send the last messages again."""
         self.link = link
+        link.set_busy(self.active_runs > 0)
         for message in self.recent_messages:
             link.send(message)
 
+    def count_run(self, change: int) -> None:
+        """Add `change` to the number of active runs."""
+        self.active_runs += change
+        if self.link is not None:
+            self.link.set_busy(self.active_runs > 0)
+
+    async def is_current(self) -> bool:
+        """Return whether the entry still stands by its last command.
+
+        A command that arrives after a silence may have been delayed while the
+        entry gave up this agent. Only a frame that was received after it, or
+        shortly before it, shows that the entry has not.
+        """
+        link = self.link
+        if link is None:
+            return False
+        if link.silence_before > timing.CONFIRM_AFTER_S:
+            link.send(messages.Ping())
+            try:
+                async with asyncio.timeout(timing.LINK_TIMEOUT_S):
+                    await link.received.wait()
+            except TimeoutError:
+                return False
+        return self.is_connected()
+
+    def is_connected(self) -> bool:
+        """Return whether the entry was heard of within the link timeout.
+
+        After a pause of this process it was not, even if frames are waiting.
+        """
+        link = self.link
+        return (
+            link is not None
+            and not link.closed
+            and clocks.now() - link.last_received_at <= timing.LINK_TIMEOUT_S
+        )
+
     def detach(self, link: messages.Link) -> bool:
         """Drop a lost connection; return `False` if a newer one is in use."""
         if self.link is not link:
             return False
         self.link = None
+        self.losses += 1
         return True
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -116,6 +116,7 @@
                 request.checkpoints.get(run_id.task_index, ''),
             )
             self.runs[run.key()] = run
+            session.count_run(1)
             self._spawn(self._start_run(run, request.specification))
         for reason, runs in refused.items():
             session.send(messages.Refused(request.job, runs, reason))
@@ -260,6 +261,9 @@
     async def _start_run(
         self, run: endpoint_runs.Run, specification: str
     ) -> None:
+        if not await run.session.is_current():
+            self._refuse(run, messages.Refusal.endpoint, 'entry not heard of')
+            return
         refusal = await self.commands.start(self.endpoint, run, specification)
         if refusal is not None:
             self._refuse(run, *refusal)
@@ -375,7 +379,8 @@
         completion_id: messages.CompletionId | None = None,
         checkpoint: str = '',
     ) -> None:
-        self.runs.pop(completed_run.key(), None)
+        if self.runs.pop(completed_run.key(), None) is not None:
+            completed_run.session.count_run(-1)
         self.status_changed.set()
         self.metrics.increment('runs', outcome.name)
         completed_run.session.send(
@@ -406,6 +411,7 @@
     ) -> None:
         if self.runs.pop(run.key(), None) is None:
             return
+        run.session.count_run(-1)
         self.status_changed.set()
         self.metrics.increment('starts_refused', reason.name)
         run.session.send(messages.Refused(run.job, [run.id], reason))
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -10,6 +10,9 @@
 _NO_RESOURCES: typing.Final = messages.Resources(0, 0, 0)
 
 
+TaskKey = tuple[ids.JobId, int]
+
+
 @dataclasses.dataclass(eq=False)
 class Agent:
     """One incarnation of an agent.
@@ -30,13 +33,31 @@
     service: str = ''
     labels: list[str] = dataclasses.field(default_factory=list)
     starts_sent: int = 0
+    # How often its link was lost.
+    losses: int = 0
+    # Tasks that are placed here, by job and index.
+    placed: set[TaskKey] = dataclasses.field(default_factory=set)
     in_flight: collections.deque[tuple[int, messages.Resources]] = (
         dataclasses.field(default_factory=collections.deque)
     )
 
     def is_usable(self) -> bool:
         """Return whether tasks may be sent to it."""
-        return self.accepting and self.link is not None
+        return (
+            self.accepting and self.link is not None and not self.link.is_stale
+        )
+
+    def track(self, key: TaskKey) -> None:
+        """Record that a task is placed here."""
+        self.placed.add(key)
+        if self.link is not None:
+            self.link.set_busy(True)
+
+    def untrack(self, key: TaskKey) -> None:
+        """Record that a task is no longer placed here."""
+        self.placed.discard(key)
+        if self.link is not None and not self.placed:
+            self.link.set_busy(False)
 
     def matches(self, service: str, label: str) -> bool:
         """Return whether its endpoint belongs to a service and has a label."""
@@ -85,6 +106,7 @@
     def on_connected(self, link: messages.Link) -> None:
         """Use a new connection, on which no tasks have been sent yet."""
         self.link = link
+        link.set_busy(bool(self.placed))
         self.starts_sent = 0
         self.in_flight.clear()
         self.accepting = False
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -83,6 +83,20 @@
     agent: fleet.Agent | None = None
     avoided_nodes: set[str] = dataclasses.field(default_factory=set)
 
+    def place(self, job: ids.JobId, agent: fleet.Agent, now: float) -> None:
+        """Record that its next run has been sent to an agent."""
+        self.phase = Phase.placed
+        self.run_number += 1
+        self.agent = agent
+        self.placed_at = now
+        agent.track((job, self.index))
+
+    def leave_agent(self, job: ids.JobId, phase: Phase) -> None:
+        """Record that its run is over; it now waits or is done."""
+        self.phase = phase
+        if self.agent is not None:
+            self.agent.untrack((job, self.index))
+
 
 class JobOwner(typing.Protocol):
     """The owner of a stored job, which keeps its record up to date."""
@@ -235,15 +249,14 @@
 
 
 def tasks_at(
-    candidates: typing.Iterable[Job],
+    jobs_by_id: typing.Mapping[ids.JobId, Job],
     agent: fleet.Agent,
 ) -> list[tuple[Job, Task]]:
     """Return the tasks that are placed at an agent, with their jobs."""
     return [
-        (job, task)
-        for job in candidates
-        for task in job.placed_tasks()
-        if task.agent is agent
+        (job, job.tasks[index])
+        for job_id, index in sorted(agent.placed)
+        if (job := jobs_by_id.get(job_id)) is not None
     ]
 
 
--- a/src/poplardrum/dispatch/lifecycle.py
+++ b/src/poplardrum/dispatch/lifecycle.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from poplardrum import ini
-from poplardrum.dispatch import clocks, messages
+from poplardrum.dispatch import clocks
 from poplardrum.platform import listeners
 
 logger = logging.getLogger(__name__)
@@ -99,26 +99,6 @@
         await asyncio.sleep(restart_delay_s)
 
 
-@contextlib.contextmanager
-def keep_alive(
-    link: messages.Link,
-    interval: float,
-) -> typing.Iterator[None]:
-    """Send keep-alive messages on an idle link; abort the link at the end."""
-    pinging = asyncio.ensure_future(_send_pings(link, interval))
-    try:
-        yield
-    finally:
-        pinging.cancel()
-        link.abort()
-
-
-async def _send_pings(link: messages.Link, interval: float) -> None:
-    while not link.closed:
-        link.ping_if_idle(interval / 2)
-        await asyncio.sleep(interval)
-
-
 ConnectionHandler = typing.Callable[
     [asyncio.StreamReader, asyncio.StreamWriter],
     typing.Awaitable[None],
--- a/src/poplardrum/dispatch/links.py
+++ b/src/poplardrum/dispatch/links.py
@@ -3,11 +3,11 @@
 import asyncio
 import logging
 
-from poplardrum import errors, ids, ini, log_events
+from poplardrum import errors, ids, log_events
 from poplardrum.dispatch import (
     coordinator,
     fleet,
-    lifecycle,
+    keepalive,
     messages,
     timing,
 )
@@ -29,7 +29,8 @@
         self.incarnation = incarnation
         self.coordinator = job_coordinator
         self.links: set[messages.Link] = set()
-        self.entries: list[ini.Address] = []
+        self.entries = messages.Entries(0, [])
+        self.keep_alive = keepalive.KeepAlive()
 
     async def serve(
         self,
@@ -43,7 +44,7 @@
                 self.node, self.coordinator.zone, self.incarnation
             )
         )
-        with lifecycle.keep_alive(link, timing.PING_INTERVAL_S):
+        with self.keep_alive.watch(link):
             try:
                 await self._receive_messages(link)
             except errors.PoplardrumError as error:
@@ -53,7 +54,7 @@
         peer = await self._handshake(link)
         try:
             while not link.closed:
-                for message in await link.receive(timing.LINK_TIMEOUT_S):
+                for message in await link.receive():
                     self.coordinator.handle_message(peer, message)
         finally:
             self._disconnect(peer, link)
@@ -75,20 +76,20 @@
             self.coordinator.add_agent(peer)
         peer.on_connected(link)
         self.links.add(link)
-        if self.entries:
-            link.send(messages.Entries(self.entries))
+        if self.entries.entries:
+            link.send(self.entries)
         log_events.emit(logger, 'agent linked', agent=first.node)
         for message in rest:
             self.coordinator.handle_message(peer, message)
         return peer
 
-    def send_entries(self, entries: list[ini.Address]) -> None:
-        """Send the addresses of all entries to all agents if they have changed."""
-        if entries == self.entries:
+    def send_entries(self, entries: messages.Entries) -> None:
+        """Send all entries to all agents if they have changed."""
+        if entries.entries == self.entries.entries:
             return
         self.entries = entries
         for link in self.links:
-            link.send(messages.Entries(entries))
+            link.send(entries)
 
     def close(self) -> None:
         """Abort all connections."""
--- a/src/poplardrum/dispatch/membership.py
+++ b/src/poplardrum/dispatch/membership.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from poplardrum import errors, ids, ini, log_events
-from poplardrum.dispatch import clocks, timing
+from poplardrum.dispatch import clocks, messages, timing
 from poplardrum.platform import store
 
 logger = logging.getLogger(__name__)
@@ -25,21 +25,35 @@
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
-    """An announced entry: its address and incarnation."""
+    """An announced entry: its address, incarnation and availability zone.
+
+    It `lacks` agents of some services.
+    """
 
     host: str
     port: int
     incarnation: ids.Incarnation = ids.Incarnation('')
+    zone: str = ''
+    lacks: tuple[str, ...] = ()
+
+    def entry_address(self) -> messages.EntryAddress:
+        """Return what agents need to know of it."""
+        return messages.EntryAddress(
+            self.host, self.port, self.zone, self.lacks
+        )
 
-    def address(self) -> ini.Address:
-        """Return the address that agents connect to."""
-        return self.host, self.port
 
+async def read_entries(kv_store: store.Store) -> messages.Entries:
+    """Return the announced entries as of a revision of the store."""
+    return to_entries(await kv_store.read(PREFIX, is_prefix=True))
 
-async def read_entry_addresses(kv_store: store.Store) -> list[ini.Address]:
-    """Return the addresses of the announced entries."""
-    snapshot = await kv_store.read(PREFIX, is_prefix=True)
-    return [member.address() for member in decode(snapshot.values).values()]
+
+def to_entries(snapshot: store.Snapshot) -> messages.Entries:
+    """Return the entries that a snapshot of the announcements has."""
+    return messages.Entries(
+        snapshot.index,
+        [member.entry_address() for member in decode(snapshot.values).values()],
+    )
 
 
 def decode(values: list[store.StoredValue]) -> dict[str, Member]:
@@ -64,11 +78,12 @@
         node: str,
         address: ini.Address,
         incarnation: ids.Incarnation,
+        zone: str = '',
     ) -> None:
         """Create an announcement of `address` under the name of the node."""
         self.store = kv_store
         self.key = PREFIX + node
-        self.member = Member(*address, incarnation)
+        self.member = Member(*address, incarnation, zone)
         self.last_seen_at = -math.inf
         self.lease: store.LeaseId | None = None
         self.missing = asyncio.Event()
@@ -81,6 +96,14 @@
         if not is_present and self.lease is not None:
             self.missing.set()
 
+    def set_lacks(self, services: typing.Iterable[str]) -> None:
+        """Announce which services have too few agents here."""
+        lacks = tuple(sorted(services))
+        if lacks != self.member.lacks:
+            self.member = msgspec.structs.replace(self.member, lacks=lacks)
+            if self.lease is not None:
+                self.missing.set()
+
     def is_valid(self) -> bool:
         """Return whether no other entry can consider this one gone yet.
 
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from poplardrum import errors, ids, ini
+from poplardrum.dispatch import clocks
 
 _LENGTH_BYTES: typing.Final = 4
 MAX_FRAME_BYTES: typing.Final = 4 * 1024 * 1024
@@ -32,10 +33,27 @@
     incarnation: ids.Incarnation
 
 
+class EntryAddress(msgspec.Struct, frozen=True, array_like=True):
+    """Where agents reach an entry, and its availability zone.
+
+    Agents of the services that it `lacks` link to it, wherever they are.
+    """
+
+    host: str
+    port: int
+    zone: str = ''
+    lacks: tuple[str, ...] = ()
+
+    def address(self) -> ini.Address:
+        """Return the address that agents connect to."""
+        return self.host, self.port
+
+
 class Entries(Message, frozen=True, tag=3):
-    """Addresses of all entries known to the sender."""
+    """All announced entries as of a revision of the store."""
 
-    addresses: list[ini.Address]
+    revision: int
+    entries: list[EntryAddress]
 
 
 class Resources(msgspec.Struct, frozen=True, array_like=True):
@@ -99,7 +117,11 @@
 
 
 class Ping(Message, frozen=True, tag=6):
-    """Keep-alive message of an idle connection."""
+    """Request for a `Pong`, sent after a silence."""
+
+
+class Pong(Message, frozen=True, tag=14):
+    """Reply to a `Ping`."""
 
 
 class Refusal(enum.IntEnum):
@@ -215,6 +237,7 @@
     | StartTasks
     | StopTasks
     | Ping
+    | Pong
     | Refused
     | Completion
     | Load
@@ -245,11 +268,18 @@
         self.reader = reader
         self.writer = writer
         self.pending: list[Message] = []
-        self.sent_at = 0.0
         self.starts_received = 0
         self.zone = ''
         self.load_sent_at = 0.0
         self.closed = False
+        # Times are of `clocks.now`. `silence_before` is the time between the
+        # last two frames. A link is stale while a ping has no reply.
+        self.last_received_at = clocks.now()
+        self.silence_before = 0.0
+        self.pinged_at = 0.0
+        self.busy_since: float | None = None
+        self.is_stale = False
+        self.received = asyncio.Event()
 
     def send(self, message: Message) -> None:
         """Queue a message for the next frame."""
@@ -274,17 +304,24 @@
         body = _encoder.encode(self.pending)
         self.pending = []
         length = len(body).to_bytes(_LENGTH_BYTES, 'big')
-        self.sent_at = asyncio.get_running_loop().time()
         self.writer.write(length + body)
         transport = self.writer.transport
         if transport.get_write_buffer_size() > MAX_FRAME_BYTES:
             self.abort()
 
-    async def receive(self, timeout_s: float) -> list[AnyMessage]:
-        """Return the messages of the next frame.
+    def set_busy(self, busy: bool) -> None:
+        """Record whether this side depends on the peer."""
+        if not busy:
+            self.busy_since = None
+        elif self.busy_since is None:
+            self.busy_since = clocks.now()
+
+    async def receive(self, timeout_s: float | None = None) -> list[AnyMessage]:
+        """Return the messages of the next frame, and answer pings.
 
         Raise `link_lost` if the peer sends nothing for `timeout_s`, has closed
-        the connection or sends an invalid frame.
+        the connection or sends an invalid frame. Without a timeout, the keep-alive
+        of the process aborts a silent link.
         """
         try:
             async with asyncio.timeout(timeout_s):
@@ -293,11 +330,23 @@
                 if length > MAX_FRAME_BYTES:
                     raise ValueError(f'frame of {length} bytes')
                 body = await self.reader.readexactly(length)
-            return _decoder.decode(body)
+            received = _decoder.decode(body)
         except TimeoutError:
             raise _link_lost(f'silent for {timeout_s:g} s') from None
         except (EOFError, OSError, ValueError) as error:
             raise _link_lost(repr(error)) from None
+        self._record_frame(received)
+        return received
+
+    def _record_frame(self, received: list[AnyMessage]) -> None:
+        now = clocks.now()
+        self.silence_before = now - self.last_received_at
+        self.last_received_at = now
+        self.is_stale = False
+        self.received.set()
+        self.received.clear()
+        if any(isinstance(message, Ping) for message in received):
+            self.send(Pong())
 
     async def receive_hello(
         self, kind: type[HelloMessage], timeout_s: float
@@ -318,12 +367,6 @@
             self.closed = True
             self.writer.transport.abort()
 
-    def ping_if_idle(self, interval: float) -> None:
-        """Send a `Ping` if nothing was sent for `interval` seconds."""
-        now = asyncio.get_running_loop().time()
-        if now - self.sent_at >= interval and not self.pending:
-            self.send(Ping())
-
 
 def _link_lost(message: str) -> errors.PoplardrumError:
     return errors.uncertain_outcome(errors.Code.link_lost, message)
--- a/src/poplardrum/dispatch/polling.py
+++ b/src/poplardrum/dispatch/polling.py
@@ -29,6 +29,7 @@
 _MAX_UNTHROTTLED_LINKS: typing.Final = 5
 _SAME_ZONE_INTERVAL_PER_LINK_S: typing.Final = 0.0015
 _OTHER_ZONE_INTERVAL_PER_LINK_S: typing.Final = 0.008
+_MAX_THROTTLED_ENTRIES: typing.Final = 40
 
 
 class EndpointPoller:
@@ -187,6 +188,8 @@
         self.links = links
         self.zone = zone
         self.was_accepting = False
+        # Number of all announced entries, linked or not.
+        self.entry_count = 0
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -197,14 +200,9 @@
                     await self.executor.status_changed.wait()
             self.executor.status_changed.clear()
             self._report(clocks.now())
-            throttled_links = (
-                len(self.links)
-                if len(self.links) > _MAX_UNTHROTTLED_LINKS
-                else 0
-            )
             await asyncio.sleep(
                 _MIN_REPORT_INTERVAL_S
-                + throttled_links * _SAME_ZONE_INTERVAL_PER_LINK_S
+                + self._throttled_entries() * _SAME_ZONE_INTERVAL_PER_LINK_S
             )
 
     def _report(self, now: float) -> None:
@@ -218,11 +216,19 @@
             else:
                 self.executor.status_changed.set()
 
-    def _min_interval(self, link: messages.Link) -> float:
-        count = len(self.links)
+    def _throttled_entries(self) -> int:
+        """Return the number of entries that share the agent's reports.
+
+        An entry has links to more agents the more entries there are, so its
+        share of the reports of each agent falls with their number.
+        """
+        count = max(len(self.links), self.entry_count)
         if count <= _MAX_UNTHROTTLED_LINKS:
             return 0
-        return count * (
+        return min(count, _MAX_THROTTLED_ENTRIES)
+
+    def _min_interval(self, link: messages.Link) -> float:
+        return self._throttled_entries() * (
             _SAME_ZONE_INTERVAL_PER_LINK_S
             if link.zone == self.zone
             else _OTHER_ZONE_INTERVAL_PER_LINK_S
--- a/src/poplardrum/dispatch/start.py
+++ b/src/poplardrum/dispatch/start.py
@@ -75,7 +75,7 @@
         _enable_gc()
         await entry.run(settings)
         return
-    from poplardrum.dispatch import agent
+    from poplardrum.dispatch import agent_process
 
     _enable_gc()
-    await agent.run(settings)
+    await agent_process.run(settings)
--- a/src/poplardrum/dispatch/timing.py
+++ b/src/poplardrum/dispatch/timing.py
@@ -2,10 +2,23 @@
 
 import typing
 
-# Interval of keep-alive messages on an idle link.
+# Silence after which a peer is pinged on a link that is in use.
 PING_INTERVAL_S: typing.Final = 0.15
-# A link on which nothing is received for this long is lost.
+# A link in use on which nothing is received for this long is lost.
 LINK_TIMEOUT_S: typing.Final = 0.6
+# Interval at which all links are checked.
+LINK_CHECK_INTERVAL_S: typing.Final = 0.075
+# A process pings its idle links at most this often in all, and each of them at
+# least once in `_MAX_IDLE_PING_INTERVAL_S`.
+_IDLE_PINGS_PER_S: typing.Final = 60.0
+_MAX_IDLE_PING_INTERVAL_S: typing.Final = 1.0
+# An idle link is lost after this many ping intervals without a reply.
+_IDLE_TIMEOUT_INTERVALS: typing.Final = 3
+# Time for a ping and its reply.
+_PING_REPLY_S: typing.Final = 0.1
+# A command that follows a longer silence may have been delayed, so the agent
+# asks the entry for a sign of life before it starts the tasks.
+CONFIRM_AFTER_S: typing.Final = 0.3
 # An entry whose link is lost may reconnect within this time before its runs
 # are stopped. Its callers submit their jobs again 1.3 s after a lost connection.
 RECONNECT_TIMEOUT_S: typing.Final = 0.4
@@ -20,6 +33,26 @@
 LEASE_SLACK_S: typing.Final = 0.05
 
 
+def idle_ping_interval(link_count: int) -> float:
+    """Return the silence after which an idle peer is pinged, in seconds."""
+    return min(
+        max(PING_INTERVAL_S, link_count / _IDLE_PINGS_PER_S),
+        _MAX_IDLE_PING_INTERVAL_S,
+    )
+
+
+def idle_link_timeout(ping_interval: float) -> float:
+    """Return the silence after which an idle link is lost, in seconds."""
+    return max(
+        LINK_TIMEOUT_S, _IDLE_TIMEOUT_INTERVALS * ping_interval + _PING_REPLY_S
+    )
+
+
+def stale_after(ping_interval: float) -> float:
+    """Return the silence after which a ping was not answered, in seconds."""
+    return ping_interval + 2 * LINK_CHECK_INTERVAL_S + _PING_REPLY_S
+
+
 def max_lease_duration(granted: float) -> float:
     """Return the time after which a lease has certainly expired."""
     return granted * (1 + 2 * MAX_CLOCK_DRIFT) + LEASE_SLACK_S
@@ -29,10 +62,13 @@
 # stops the stored jobs that it owns, so that others can take them over.
 OWNERSHIP_TIMEOUT_S: typing.Final = 4.5
 # Longest time for which runs may go on at an agent whose link is lost: until
-# the agent notices it, waits for a reconnect, stops the runs and, if the stops
-# fail, lets the endpoint's lease expire.
+# a command in transit arrives, the agent notices the loss, waits for a
+# reconnect, stops the runs and, if the stops fail, lets the endpoint's lease
+# expire.
 LOST_AGENT_TIMEOUT_S: typing.Final = (
-    LINK_TIMEOUT_S
+    CONFIRM_AFTER_S
+    + LINK_TIMEOUT_S
+    + LINK_CHECK_INTERVAL_S
     + RECONNECT_TIMEOUT_S
     + TOTAL_STOP_TIMEOUT_S
     + max_lease_duration(LEASE_S)
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -29,11 +29,23 @@
         self.sent: list[messages.Message] = []
         self.starts_received = 0
         self.closed = False
+        self.is_stale = False
+        self.is_busy = False
+        self.silence_before = 0.0
 
     def send(self, message: messages.Message) -> None:
         """Record a message."""
         self.sent.append(message)
 
+    @property
+    def last_received_at(self) -> float:
+        """Return the present time: the peer is always heard of."""
+        return clocks.now()
+
+    def set_busy(self, busy: bool) -> None:
+        """Record whether this side depends on the peer."""
+        self.is_busy = busy
+
     def sent_of(self, kind: type[typing.Any]) -> list[typing.Any]:
         """Return the messages of one kind."""
         return [each for each in self.sent if isinstance(each, kind)]
--- a/tests/test_dispatch_coordinator.py
+++ b/tests/test_dispatch_coordinator.py
@@ -258,6 +258,30 @@
         await run_event_loop()
         self.assertEqual(self.count_starts(link), 2)
 
+    async def test_second_loss_within_the_timeout(self) -> None:
+        """Guards against a second run while that of a lost agent is active.
+
+        An agent lost its link, came back and lost it again. The timer of the
+        first loss expired it soon after the second one, and its tasks were
+        started elsewhere while they ran. Found by test_killed_agent.
+        """
+        job = await self.submit_job(1, 2)
+        with mock.patch.object(timing, 'LOST_AGENT_TIMEOUT_S', 0.5):
+            self.lose(self.agent)
+            await asyncio.sleep(0.3)
+            self.agent.on_connected(typing.cast(messages.Link, self.link))
+            self.lose(self.agent)
+            _, other = self.connect('side-2')
+            await asyncio.sleep(0.35)
+            self.assertEqual(self.count_starts(other), 0)
+            await dispatch_world.wait_until(lambda: self.count_starts(other))
+        self.assertEqual(job.tasks[0].run_number, 2)
+
+    def lose(self, agent: fleet.Agent) -> None:
+        """Lose the link of an agent."""
+        agent.on_disconnected()
+        self.coordinator.schedule_expiry(agent)
+
 
 class TestCapacity(CoordinatorCase):
     """The free capacity of agents as tracked by an entry."""
--- a/tests/test_dispatch_decisions.py
+++ b/tests/test_dispatch_decisions.py
@@ -19,6 +19,7 @@
     placement,
     timing,
 )
+from tests import dispatch_world
 
 CAPACITY: typing.Final = messages.Resources(16000, 65536, 0)
 DEMAND: typing.Final = messages.Resources(1600, 64, 0)
@@ -33,7 +34,7 @@
 ) -> fleet.Agent:
     """Return a connected agent with `free` thousandths of a core."""
     connected = fleet.Agent(node, zone, ids.new_incarnation())
-    connected.link = typing.cast(messages.Link, object())
+    connected.link = typing.cast(messages.Link, dispatch_world.FakeLink())
     load = messages.Load(
         0,
         True,
--- a/tests/test_dispatch_messages.py
+++ b/tests/test_dispatch_messages.py
@@ -75,7 +75,7 @@
             )
             subject = agent.Agent(config, world.executor)
             stack.callback(subject.close)
-            subject.add_entries([address])
+            subject.entry_links.add_seeds([address])
             await wait_for(again)
             for writer in connections:
                 writer.transport.abort()
--- a/tests/test_platform_users.py
+++ b/tests/test_platform_users.py
@@ -247,7 +247,9 @@
         ]
         with self.assertLogs('poplardrum', 'WARNING'):
             found = membership.decode(values)
-        addresses = [member.address() for member in found.values()]
+        addresses = [
+            member.entry_address().address() for member in found.values()
+        ]
         self.assertEqual(addresses, [('10.0.0.1', 7720)])
 
 
