Read whole chunks, wait for entries that start, and send loads in frames

Change: - connections: Link leaves messages.py; one read takes all bytes that are there, and all whole frames of them are decoded at once.

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -1,6 +1,7 @@
 """The agent's links to entries, and the requests that come over them."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import typing
@@ -8,12 +9,13 @@
 from poplardrum import errors, ids, ini, log_events
 from poplardrum.dispatch import (
     clocks,
+    connections,
     entry_links,
     entry_sessions,
     executor,
     keepalive,
+    load_reports,
     messages,
-    polling,
     timing,
 )
 from poplardrum.platform import settings_file
@@ -45,12 +47,12 @@
         self.executor = task_executor
         self.incarnation = ids.new_incarnation()
         self.sessions: dict[ids.Incarnation, entry_sessions.EntrySession] = {}
-        self.links: set[messages.Link] = set()
+        self.links: set[connections.Link] = set()
         self.keep_alive = keepalive.KeepAlive()
         self.entry_links = entry_links.EntryLinks(
             config.node, config.zone, self._maintain_link, self._link_demand
         )
-        self.reporter = polling.LoadReporter(
+        self.reporter = load_reports.LoadReporter(
             task_executor, self.links, config.zone
         )
         task_executor.broadcast_completion = self._broadcast_completion
@@ -79,41 +81,42 @@
     async def _connect(self, address: ini.Address) -> None:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             streams = await asyncio.open_connection(*address)
-        link = messages.Link(*streams)
-        link.send(
-            messages.AgentHello(
-                self.config.node,
-                self.config.zone,
-                self.incarnation,
-            ),
-        )
+        link = connections.Link(*streams)
         self.entry_links.links[address] = link
-        with self.keep_alive.watch(link):
+        with contextlib.ExitStack() as stack:
+            stack.callback(link.abort)
+            stack.callback(self.entry_links.links.pop, address, None)
             try:
-                await self._receive_messages(link)
+                await self._serve_entry(link)
             except errors.PoplardrumError as error:
                 log_events.emit(
                     logger, 'entry link lost', entry=address, why=error.message
                 )
-            finally:
-                self.entry_links.links.pop(address, None)
 
-    async def _receive_messages(self, link: messages.Link) -> None:
+    async def _serve_entry(self, link: connections.Link) -> None:
+        link.send(
+            messages.AgentHello(
+                self.config.node,
+                self.config.zone,
+                self.incarnation,
+            ),
+        )
         session = await self._handshake(link)
         try:
-            while not link.closed:
-                for message in await link.receive():
-                    self._handle_message(session, message)
+            with self.keep_alive.watch(link):
+                while not link.closed:
+                    for message in await link.receive():
+                        self._handle_message(session, message)
         finally:
             self.links.discard(link)
             if session.detach(link):
                 self._schedule_expiry(session)
 
     async def _handshake(
-        self, link: messages.Link
+        self, link: connections.Link
     ) -> entry_sessions.EntrySession:
         first, rest = await link.receive_hello(
-            messages.EntryHello, timing.LINK_TIMEOUT_S
+            messages.EntryHello, timing.HELLO_TIMEOUT_S
         )
         for other in list(self.sessions.values()):
             if other.node == first.node and (
@@ -132,7 +135,7 @@
         for retained in self.executor.completions.unacknowledged.values():
             if retained.session is None or retained.session is session:
                 link.send(retained.message)
-        link.send(self.reporter.load(link))
+        self.reporter.attach(link)
         self.links.add(link)
         log_events.emit(logger, 'entry linked', entry=first.node)
         for message in rest:
@@ -184,7 +187,7 @@
             for retained in self.executor.completions.due_for_resend(
                 clocks.now()
             ):
-                links: typing.Iterable[messages.Link] = self.links
+                links: typing.Iterable[connections.Link] = self.links
                 if (
                     retained.session is not None
                     and retained.session.link is not None
--- /dev/null
+++ b/src/poplardrum/dispatch/connections.py
@@ -0,0 +1,190 @@
+"""Connections between entries and agents, which carry frames of messages."""
+
+import asyncio
+import typing
+
+import msgspec
+
+from poplardrum import errors
+from poplardrum.dispatch import clocks, messages
+
+_LENGTH_BYTES: typing.Final = 4
+MAX_FRAME_BYTES: typing.Final = 4 * 1024 * 1024
+_READ_BYTES: typing.Final = 64 * 1024
+
+HelloMessage = typing.TypeVar(
+    'HelloMessage', messages.AgentHello, messages.EntryHello
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(list[messages.AnyMessage])
+
+
+class Link:
+    """A connection to a peer.
+
+    Messages that are sent in one iteration of the event loop share a frame.
+    """
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Wrap an open connection."""
+        self.reader = reader
+        self.writer = writer
+        self.pending: list[messages.Message] = []
+        # Bytes that were read and not decoded yet.
+        self.unread = bytearray()
+        self.starts_received = 0
+        self.zone = ''
+        # The last load that was sent, and when.
+        self.load_sent: messages.Load | None = None
+        self.load_sent_at = 0.0
+        # Returns a message to append to a frame that is being written.
+        self.trailer: typing.Callable[[], messages.Message | None] | None = None
+        self.closed = False
+        # Times are of `clocks.now`. `silence_before` is the time between the
+        # last two frames. A link is stale while a ping has no reply.
+        self.last_received_at = clocks.now()
+        self.silence_before = 0.0
+        self.pinged_at = 0.0
+        self.busy_since: float | None = None
+        self.is_stale = False
+        self.received = asyncio.Event()
+
+    def send(self, message: messages.Message) -> None:
+        """Queue a message for the next frame."""
+        if self.closed:
+            return
+        if not self.pending:
+            asyncio.get_running_loop().call_soon(self.flush)
+        self.pending.append(message)
+
+    def flush(self) -> None:
+        """Write the queued messages as one frame.
+
+        The connection of a peer that does not read is aborted: memory is
+        bounded, and the runs of a peer that is silent are stopped anyway.
+        """
+        if self.closed or not self.pending:
+            return
+        if self.writer.transport.is_closing():
+            # The end of the connection has not been read yet.
+            self.abort()
+            return
+        if self.trailer is not None:
+            trailer = self.trailer()
+            if trailer is not None:
+                self.pending.append(trailer)
+        body = _encoder.encode(self.pending)
+        self.pending = []
+        length = len(body).to_bytes(_LENGTH_BYTES, 'big')
+        self.writer.write(length + body)
+        transport = self.writer.transport
+        if transport.get_write_buffer_size() > MAX_FRAME_BYTES:
+            self.abort()
+
+    def set_busy(self, busy: bool) -> None:
+        """Record whether this side depends on the peer."""
+        if not busy:
+            self.busy_since = None
+        elif self.busy_since is None:
+            self.busy_since = clocks.now()
+
+    async def receive(
+        self, timeout_s: float | None = None
+    ) -> list[messages.AnyMessage]:
+        """Return the messages of all frames that have arrived; answer pings.
+
+        Raise `link_lost` if the peer sends nothing for `timeout_s`, has closed
+        the connection or sends an invalid frame. Without a timeout, the keep-alive
+        of the process aborts a silent link.
+        """
+        try:
+            if timeout_s is None:
+                received = await self._read_messages()
+            else:
+                async with asyncio.timeout(timeout_s):
+                    received = await self._read_messages()
+        except TimeoutError:
+            raise _link_lost(f'silent for {timeout_s:g} s') from None
+        except (EOFError, OSError, ValueError) as error:
+            raise _link_lost(repr(error)) from None
+        self._record_frame(received)
+        return received
+
+    async def _read_messages(self) -> list[messages.AnyMessage]:
+        while True:
+            received = self._take_messages()
+            if received is not None:
+                return received
+            chunk = await self.reader.read(_READ_BYTES)
+            if not chunk:
+                raise EOFError('closed by the peer')
+            self.unread += chunk
+
+    def _take_messages(self) -> list[messages.AnyMessage] | None:
+        """Take the messages of all whole frames, `None` if there is none.
+
+        Raise `ValueError` if the first frame is invalid. A later invalid one is
+        left for the next call, so that it does not cost those before it.
+        """
+        received: list[messages.AnyMessage] | None = None
+        start = 0
+        try:
+            while (frame := self._frame_at(start)) is not None:
+                decoded = _decoder.decode(frame)
+                start += _LENGTH_BYTES + len(frame)
+                received = decoded if received is None else received + decoded
+        except ValueError:
+            if received is None:
+                raise
+        self.unread = self.unread[start:]
+        return received
+
+    def _frame_at(self, start: int) -> bytes | None:
+        """Return the body of the frame at an offset if all of it has arrived."""
+        body_start = start + _LENGTH_BYTES
+        if len(self.unread) < body_start:
+            return None
+        length = int.from_bytes(self.unread[start:body_start], 'big')
+        if length > MAX_FRAME_BYTES:
+            raise ValueError(f'frame of {length} bytes')
+        if len(self.unread) < body_start + length:
+            return None
+        return bytes(self.unread[body_start : body_start + length])
+
+    def _record_frame(self, received: list[messages.AnyMessage]) -> None:
+        now = clocks.now()
+        self.silence_before = now - self.last_received_at
+        self.last_received_at = now
+        self.is_stale = False
+        self.received.set()
+        self.received.clear()
+        if any(isinstance(message, messages.Ping) for message in received):
+            self.send(messages.Pong())
+
+    async def receive_hello(
+        self, kind: type[HelloMessage], timeout_s: float
+    ) -> tuple[HelloMessage, list[messages.AnyMessage]]:
+        """Return the hello that a peer sends first, and what follows it.
+
+        Raise `link_lost` as `receive` does, or if the first message is of
+        another kind.
+        """
+        received = await self.receive(timeout_s)
+        if not received or not isinstance(received[0], kind):
+            raise _link_lost('first message is not a hello')
+        return received[0], received[1:]
+
+    def abort(self) -> None:
+        """Close the connection without sending queued bytes."""
+        if not self.closed:
+            self.closed = True
+            self.writer.transport.abort()
+
+
+def _link_lost(message: str) -> errors.PoplardrumError:
+    return errors.uncertain_outcome(errors.Code.link_lost, message)
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -18,7 +18,8 @@
 
 logger = logging.getLogger(__name__)
 
-_REFUSED_RETRY_DELAY_S: typing.Final = 0.02
+# An earlier run of the task is being stopped.
+_CONFLICT_RETRY_DELAY_S: typing.Final = 0.02
 # Upper bound of the random `Retry-After` of refused jobs, which spreads their
 # retries.
 _MAX_RETRY_AFTER_S: typing.Final = 3.0
@@ -312,8 +313,12 @@
             self._requeue(job, task)
             if refusal.reason is not messages.Refusal.no_room:
                 task.avoided_nodes.add(agent.node)
-        loop = asyncio.get_running_loop()
-        loop.call_later(_REFUSED_RETRY_DELAY_S, self.schedule_placement)
+        if refusal.reason is messages.Refusal.conflict:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_CONFLICT_RETRY_DELAY_S, self.schedule_placement)
+        else:
+            # The frame of the refusal also has the load that caused it.
+            self.schedule_placement()
 
     def _reconcile_runs(
         self, agent: fleet.Agent, active: messages.ActiveRuns
--- a/src/poplardrum/dispatch/entry_links.py
+++ b/src/poplardrum/dispatch/entry_links.py
@@ -4,7 +4,7 @@
 import typing
 
 from poplardrum import ini
-from poplardrum.dispatch import clocks, messages, neighbours
+from poplardrum.dispatch import clocks, connections, messages, neighbours
 
 # An entry that is no longer chosen keeps its link for this long after its last
 # run, while the link to its replacement comes up.
@@ -48,7 +48,7 @@
         self.revision = 0
         self.entries: dict[ini.Address, messages.EntryAddress] = {}
         self.tasks: dict[ini.Address, asyncio.Task[None]] = {}
-        self.links: dict[ini.Address, messages.Link] = {}
+        self.links: dict[ini.Address, connections.Link] = {}
         # When addresses that are not chosen may be released.
         self.release_at: dict[ini.Address, float] = {}
 
--- a/src/poplardrum/dispatch/entry_sessions.py
+++ b/src/poplardrum/dispatch/entry_sessions.py
@@ -5,7 +5,7 @@
 import typing
 
 from poplardrum import ids
-from poplardrum.dispatch import clocks, messages, timing
+from poplardrum.dispatch import clocks, connections, messages, timing
 
 # Older messages are dropped. A run whose completion is lost that way is missing
 # from `ActiveRuns`, so its task is queued again.
@@ -24,7 +24,7 @@
         """Create a session without a connection."""
         self.node = node
         self.incarnation = incarnation
-        self.link: messages.Link | None = None
+        self.link: connections.Link | None = None
         # Number of active runs of this entry at the endpoint.
         self.active_runs = 0
         # How often the connection was lost.
@@ -41,7 +41,7 @@
         if self.link is not None:
             self.link.send(message)
 
-    def attach(self, link: messages.Link) -> None:
+    def attach(self, link: connections.Link) -> None:
         """Continue on a new connection; send the last messages again."""
         self.link = link
         link.set_busy(self.active_runs > 0)
@@ -85,7 +85,7 @@
             and clocks.now() - link.last_received_at <= timing.LINK_TIMEOUT_S
         )
 
-    def detach(self, link: messages.Link) -> bool:
+    def detach(self, link: connections.Link) -> bool:
         """Drop a lost connection; return `False` if a newer one is in use."""
         if self.link is not link:
             return False
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -5,7 +5,7 @@
 import typing
 
 from poplardrum import ids
-from poplardrum.dispatch import messages
+from poplardrum.dispatch import connections, messages
 
 _NO_RESOURCES: typing.Final = messages.Resources(0, 0, 0)
 
@@ -25,7 +25,7 @@
     node: str
     zone: str
     incarnation: ids.Incarnation
-    link: messages.Link | None = None
+    link: connections.Link | None = None
     accepting: bool = False
     free: messages.Resources = _NO_RESOURCES
     capacity: messages.Resources = _NO_RESOURCES
@@ -103,7 +103,7 @@
         for _, total in self.in_flight:
             self.free = self.free.minus(total)
 
-    def on_connected(self, link: messages.Link) -> None:
+    def on_connected(self, link: connections.Link) -> None:
         """Use a new connection, on which no tasks have been sent yet."""
         self.link = link
         link.set_busy(bool(self.placed))
--- a/src/poplardrum/dispatch/keepalive.py
+++ b/src/poplardrum/dispatch/keepalive.py
@@ -14,7 +14,7 @@
 import contextlib
 import typing
 
-from poplardrum.dispatch import clocks, messages, timing
+from poplardrum.dispatch import clocks, connections, messages, timing
 
 
 class KeepAlive:
@@ -22,10 +22,10 @@
 
     def __init__(self) -> None:
         """Start without links."""
-        self.links: set[messages.Link] = set()
+        self.links: set[connections.Link] = set()
 
     @contextlib.contextmanager
-    def watch(self, link: messages.Link) -> typing.Iterator[None]:
+    def watch(self, link: connections.Link) -> typing.Iterator[None]:
         """Watch a link; abort it at the end."""
         self.links.add(link)
         try:
@@ -47,7 +47,9 @@
             check_link(link, now, idle_interval)
 
 
-def check_link(link: messages.Link, now: float, idle_interval: float) -> None:
+def check_link(
+    link: connections.Link, now: float, idle_interval: float
+) -> None:
     """Mark, ping or abort one link.
 
     A link that has just become busy gets the time of a busy link from then.
--- a/src/poplardrum/dispatch/links.py
+++ b/src/poplardrum/dispatch/links.py
@@ -5,6 +5,7 @@
 
 from poplardrum import errors, ids, log_events
 from poplardrum.dispatch import (
+    connections,
     coordinator,
     fleet,
     keepalive,
@@ -28,7 +29,7 @@
         self.node = node
         self.incarnation = incarnation
         self.coordinator = job_coordinator
-        self.links: set[messages.Link] = set()
+        self.links: set[connections.Link] = set()
         self.entries = messages.Entries(0, [])
         self.keep_alive = keepalive.KeepAlive()
 
@@ -38,7 +39,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve one connection until it is closed or lost."""
-        link = messages.Link(reader, writer)
+        link = connections.Link(reader, writer)
         link.send(
             messages.EntryHello(
                 self.node, self.coordinator.zone, self.incarnation
@@ -50,7 +51,7 @@
             except errors.PoplardrumError as error:
                 log_events.emit(logger, 'agent link lost', why=error.message)
 
-    async def _receive_messages(self, link: messages.Link) -> None:
+    async def _receive_messages(self, link: connections.Link) -> None:
         peer = await self._handshake(link)
         try:
             while not link.closed:
@@ -59,14 +60,14 @@
         finally:
             self._disconnect(peer, link)
 
-    def _disconnect(self, peer: fleet.Agent, link: messages.Link) -> None:
+    def _disconnect(self, peer: fleet.Agent, link: connections.Link) -> None:
         self.links.discard(link)
         if peer.link is link:
             peer.on_disconnected()
             self.coordinator.schedule_expiry(peer)
             log_events.emit(logger, 'agent lost', agent=peer.node)
 
-    async def _handshake(self, link: messages.Link) -> fleet.Agent:
+    async def _handshake(self, link: connections.Link) -> fleet.Agent:
         first, rest = await link.receive_hello(
             messages.AgentHello, timing.LINK_TIMEOUT_S
         )
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -1,16 +1,10 @@
-"""Messages between entries and agents, and the connections that carry them."""
+"""Messages between entries and agents."""
 
-import asyncio
 import enum
-import typing
 
 import msgspec
 
-from poplardrum import errors, ids, ini
-from poplardrum.dispatch import clocks
-
-_LENGTH_BYTES: typing.Final = 4
-MAX_FRAME_BYTES: typing.Final = 4 * 1024 * 1024
+from poplardrum import ids, ini
 
 
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
@@ -246,127 +240,3 @@
     | UnackedCompletion
     | CompletionsAcknowledged
 )
-
-HelloMessage = typing.TypeVar('HelloMessage', AgentHello, EntryHello)
-
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(list[AnyMessage])
-
-
-class Link:
-    """A connection to a peer.
-
-    Messages that are sent in one iteration of the event loop share a frame.
-    """
-
-    def __init__(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        """Wrap an open connection."""
-        self.reader = reader
-        self.writer = writer
-        self.pending: list[Message] = []
-        self.starts_received = 0
-        self.zone = ''
-        self.load_sent_at = 0.0
-        self.closed = False
-        # Times are of `clocks.now`. `silence_before` is the time between the
-        # last two frames. A link is stale while a ping has no reply.
-        self.last_received_at = clocks.now()
-        self.silence_before = 0.0
-        self.pinged_at = 0.0
-        self.busy_since: float | None = None
-        self.is_stale = False
-        self.received = asyncio.Event()
-
-    def send(self, message: Message) -> None:
-        """Queue a message for the next frame."""
-        if self.closed:
-            return
-        if not self.pending:
-            asyncio.get_running_loop().call_soon(self.flush)
-        self.pending.append(message)
-
-    def flush(self) -> None:
-        """Write the queued messages as one frame.
-
-        The connection of a peer that does not read is aborted: memory is
-        bounded, and the runs of a peer that is silent are stopped anyway.
-        """
-        if self.closed or not self.pending:
-            return
-        if self.writer.transport.is_closing():
-            # The end of the connection has not been read yet.
-            self.abort()
-            return
-        body = _encoder.encode(self.pending)
-        self.pending = []
-        length = len(body).to_bytes(_LENGTH_BYTES, 'big')
-        self.writer.write(length + body)
-        transport = self.writer.transport
-        if transport.get_write_buffer_size() > MAX_FRAME_BYTES:
-            self.abort()
-
-    def set_busy(self, busy: bool) -> None:
-        """Record whether this side depends on the peer."""
-        if not busy:
-            self.busy_since = None
-        elif self.busy_since is None:
-            self.busy_since = clocks.now()
-
-    async def receive(self, timeout_s: float | None = None) -> list[AnyMessage]:
-        """Return the messages of the next frame, and answer pings.
-
-        Raise `link_lost` if the peer sends nothing for `timeout_s`, has closed
-        the connection or sends an invalid frame. Without a timeout, the keep-alive
-        of the process aborts a silent link.
-        """
-        try:
-            async with asyncio.timeout(timeout_s):
-                head = await self.reader.readexactly(_LENGTH_BYTES)
-                length = int.from_bytes(head, 'big')
-                if length > MAX_FRAME_BYTES:
-                    raise ValueError(f'frame of {length} bytes')
-                body = await self.reader.readexactly(length)
-            received = _decoder.decode(body)
-        except TimeoutError:
-            raise _link_lost(f'silent for {timeout_s:g} s') from None
-        except (EOFError, OSError, ValueError) as error:
-            raise _link_lost(repr(error)) from None
-        self._record_frame(received)
-        return received
-
-    def _record_frame(self, received: list[AnyMessage]) -> None:
-        now = clocks.now()
-        self.silence_before = now - self.last_received_at
-        self.last_received_at = now
-        self.is_stale = False
-        self.received.set()
-        self.received.clear()
-        if any(isinstance(message, Ping) for message in received):
-            self.send(Pong())
-
-    async def receive_hello(
-        self, kind: type[HelloMessage], timeout_s: float
-    ) -> tuple[HelloMessage, list[AnyMessage]]:
-        """Return the hello that a peer sends first, and what follows it.
-
-        Raise `link_lost` as `receive` does, or if the first message is of
-        another kind.
-        """
-        received = await self.receive(timeout_s)
-        if not received or not isinstance(received[0], kind):
-            raise _link_lost('first message is not a hello')
-        return received[0], received[1:]
-
-    def abort(self) -> None:
-        """Close the connection without sending queued bytes."""
-        if not self.closed:
-            self.closed = True
-            self.writer.transport.abort()
-
-
-def _link_lost(message: str) -> errors.PoplardrumError:
-    return errors.uncertain_outcome(errors.Code.link_lost, message)
--- a/src/poplardrum/dispatch/polling.py
+++ b/src/poplardrum/dispatch/polling.py
@@ -1,12 +1,11 @@
-"""Background tasks of an agent: poll the endpoint, report its load."""
+"""Polling of the endpoint by its agent."""
 
 import asyncio
-import contextlib
 import logging
 import typing
 
 from poplardrum import log_events
-from poplardrum.dispatch import clocks, endpoint_runs, executor, messages
+from poplardrum.dispatch import clocks, endpoint_runs, executor
 from poplardrum.platform import endpoints
 
 logger = logging.getLogger(__name__)
@@ -22,14 +21,6 @@
 # One request without a reply already suspends the lease and new tasks. The
 # next one follows at once, and the lease lasts for both.
 _UNREACHABLE_AFTER_S: typing.Final = 0.25
-_IDLE_REPORT_INTERVAL_S: typing.Final = 1.0
-_MIN_REPORT_INTERVAL_S: typing.Final = 0.004
-# Up to this many entries get each change at once. With more, the interval
-# between the reports to an entry grows with the number of entries.
-_MAX_UNTHROTTLED_LINKS: typing.Final = 5
-_SAME_ZONE_INTERVAL_PER_LINK_S: typing.Final = 0.0015
-_OTHER_ZONE_INTERVAL_PER_LINK_S: typing.Final = 0.008
-_MAX_THROTTLED_ENTRIES: typing.Final = 40
 
 
 class EndpointPoller:
@@ -169,86 +160,6 @@
         task_executor.expire_runs(now)
 
 
-class LoadReporter:
-    """Send the endpoint's load to all entries when it changes.
-
-    An entry receives the completions of its own runs in any case, so it need
-    not get each change of the load. With many entries, those in other zones
-    get it less often, which bounds the number of reports per entry.
-    """
-
-    def __init__(
-        self,
-        task_executor: executor.Executor,
-        links: set[messages.Link],
-        zone: str,
-    ) -> None:
-        """Report to `links` from an agent in `zone`."""
-        self.executor = task_executor
-        self.links = links
-        self.zone = zone
-        self.was_accepting = False
-        # Number of all announced entries, linked or not.
-        self.entry_count = 0
-
-    async def run(self) -> None:
-        """Send reports until cancelled."""
-        while True:
-            # An ejection ends without an event, so check regularly.
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(_IDLE_REPORT_INTERVAL_S):
-                    await self.executor.status_changed.wait()
-            self.executor.status_changed.clear()
-            self._report(clocks.now())
-            await asyncio.sleep(
-                _MIN_REPORT_INTERVAL_S
-                + self._throttled_entries() * _SAME_ZONE_INTERVAL_PER_LINK_S
-            )
-
-    def _report(self, now: float) -> None:
-        accepting = self.executor.is_accepting()
-        urgent = accepting != self.was_accepting
-        self.was_accepting = accepting
-        for link in self.links:
-            if urgent or now - link.load_sent_at >= self._min_interval(link):
-                link.load_sent_at = now
-                link.send(self.load(link))
-            else:
-                self.executor.status_changed.set()
-
-    def _throttled_entries(self) -> int:
-        """Return the number of entries that share the agent's reports.
-
-        An entry has links to more agents the more entries there are, so its
-        share of the reports of each agent falls with their number.
-        """
-        count = max(len(self.links), self.entry_count)
-        if count <= _MAX_UNTHROTTLED_LINKS:
-            return 0
-        return min(count, _MAX_THROTTLED_ENTRIES)
-
-    def _min_interval(self, link: messages.Link) -> float:
-        return self._throttled_entries() * (
-            _SAME_ZONE_INTERVAL_PER_LINK_S
-            if link.zone == self.zone
-            else _OTHER_ZONE_INTERVAL_PER_LINK_S
-        )
-
-    def load(self, link: messages.Link) -> messages.Load:
-        """Return the current load for the entry at a link."""
-        task_executor = self.executor
-        heartbeat = task_executor.status.heartbeat
-        return messages.Load(
-            link.starts_received,
-            task_executor.is_accepting(),
-            task_executor.free_capacity(),
-            task_executor.status.capacity(),
-            round(task_executor.monitor.slowness(clocks.now()), 2),
-            heartbeat.service if heartbeat else '',
-            heartbeat.labels if heartbeat else [],
-        )
-
-
 def gauges(task_executor: executor.Executor) -> dict[str, float]:
     """Return the current values of an agent's gauges."""
     free = task_executor.free_capacity()
--- a/src/poplardrum/dispatch/timing.py
+++ b/src/poplardrum/dispatch/timing.py
@@ -6,11 +6,14 @@
 PING_INTERVAL_S: typing.Final = 0.15
 # A link in use on which nothing is received for this long is lost.
 LINK_TIMEOUT_S: typing.Final = 0.6
+# Time for the first message of an entry. It listens before its libraries are
+# loaded, and sends nothing until then.
+HELLO_TIMEOUT_S: typing.Final = 2.5
 # Interval at which all links are checked.
 LINK_CHECK_INTERVAL_S: typing.Final = 0.075
 # A process pings its idle links at most this often in all, and each of them at
 # least once in `_MAX_IDLE_PING_INTERVAL_S`.
-_IDLE_PINGS_PER_S: typing.Final = 60.0
+_IDLE_PINGS_PER_S: typing.Final = 30.0
 _MAX_IDLE_PING_INTERVAL_S: typing.Final = 1.0
 # An idle link is lost after this many ping intervals without a reply.
 _IDLE_TIMEOUT_INTERVALS: typing.Final = 3
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -7,6 +7,7 @@
 from poplardrum import ids
 from poplardrum.dispatch import (
     clocks,
+    connections,
     entry_sessions,
     executor,
     messages,
@@ -255,7 +256,7 @@
         """Connect an entry; return its session and link."""
         session = entry_sessions.EntrySession(node, ids.new_incarnation())
         link = FakeLink()
-        session.link = typing.cast(messages.Link, link)
+        session.link = typing.cast(connections.Link, link)
         return session, link
 
     def send_heartbeat(
--- a/tests/stored_world.py
+++ b/tests/stored_world.py
@@ -6,6 +6,7 @@
 
 from poplardrum import errors, ids
 from poplardrum.dispatch import (
+    connections,
     coordinator,
     fleet,
     jobs,
@@ -157,7 +158,7 @@
         agent = fleet.Agent(node, 'toledo', ids.new_incarnation())
         link = dispatch_world.FakeLink()
         self.coordinator.add_agent(agent)
-        agent.on_connected(typing.cast(messages.Link, link))
+        agent.on_connected(typing.cast(connections.Link, link))
         if accepting:
             self.report_load(agent)
         return agent, link
--- a/tests/test_dispatch_coordinator.py
+++ b/tests/test_dispatch_coordinator.py
@@ -6,7 +6,14 @@
 from unittest import mock
 
 from poplardrum import errors, ids
-from poplardrum.dispatch import coordinator, fleet, jobs, messages, timing
+from poplardrum.dispatch import (
+    connections,
+    coordinator,
+    fleet,
+    jobs,
+    messages,
+    timing,
+)
 from tests import dispatch_world
 
 DEMAND: typing.Final = messages.Resources(1000, 64, 0)
@@ -30,7 +37,7 @@
         agent = fleet.Agent(node, 'toledo', ids.new_incarnation())
         link = dispatch_world.FakeLink()
         self.coordinator.add_agent(agent)
-        agent.on_connected(typing.cast(messages.Link, link))
+        agent.on_connected(typing.cast(connections.Link, link))
         self.report_load(agent, free)
         return agent, link
 
@@ -226,7 +233,7 @@
         self.agent.on_disconnected()
         self.coordinator.schedule_expiry(self.agent)
         link = dispatch_world.FakeLink()
-        self.agent.on_connected(typing.cast(messages.Link, link))
+        self.agent.on_connected(typing.cast(connections.Link, link))
         active_runs = messages.ActiveRuns([(job.id, messages.RunId(0, 1))])
         self.coordinator.handle_message(self.agent, active_runs)
         self.report_load(self.agent, CAPACITY)
@@ -269,7 +276,7 @@
         with mock.patch.object(timing, 'LOST_AGENT_TIMEOUT_S', 0.5):
             self.lose(self.agent)
             await asyncio.sleep(0.3)
-            self.agent.on_connected(typing.cast(messages.Link, self.link))
+            self.agent.on_connected(typing.cast(connections.Link, self.link))
             self.lose(self.agent)
             _, other = self.connect('side-2')
             await asyncio.sleep(0.35)
@@ -307,6 +314,22 @@
         self.coordinator.handle_message(self.agent, refused)
         await dispatch_world.wait_until(lambda: self.count_starts(link) == 1)
 
+    async def test_refused_start_is_sent_elsewhere_at_once(self) -> None:
+        """Guards against a delay of each start that met a full endpoint.
+
+        Pattern: several entries choose the same endpoint at once.
+        """
+        other, other_link = self.connect('side-2', messages.Resources(0, 0, 0))
+        job = await self.submit_job(1, 1)
+        self.report_load(other, CAPACITY)
+        refusal = messages.Refused(
+            job.id, [messages.RunId(0, 1)], messages.Refusal.no_room
+        )
+        self.coordinator.handle_message(self.agent, refusal)
+        self.report_load(self.agent, messages.Resources(0, 0, 0))
+        await run_event_loop()
+        self.assertEqual(self.count_starts(other_link), 1)
+
     async def test_waiting_job_does_not_block_others(self) -> None:
         """Guards against a job that fits no endpoint blocking all others."""
         wide = self.make_job(1, 1, demand=messages.Resources(9000, 64, 0))
--- a/tests/test_dispatch_decisions.py
+++ b/tests/test_dispatch_decisions.py
@@ -11,6 +11,7 @@
 from poplardrum import ids
 from poplardrum.dispatch import (
     admission,
+    connections,
     estimates,
     fleet,
     health,
@@ -34,7 +35,7 @@
 ) -> fleet.Agent:
     """Return a connected agent with `free` thousandths of a core."""
     connected = fleet.Agent(node, zone, ids.new_incarnation())
-    connected.link = typing.cast(messages.Link, dispatch_world.FakeLink())
+    connected.link = typing.cast(connections.Link, dispatch_world.FakeLink())
     load = messages.Load(
         0,
         True,
--- a/tests/test_dispatch_links.py
+++ b/tests/test_dispatch_links.py
@@ -12,6 +12,7 @@
 from poplardrum import ids
 from poplardrum.dispatch import (
     clocks,
+    connections,
     coverage,
     entry_links,
     fleet,
@@ -51,10 +52,10 @@
         return 0
 
 
-def make_link() -> tuple[messages.Link, SilentWriter]:
+def make_link() -> tuple[connections.Link, SilentWriter]:
     """Return a link on which nothing is received."""
     writer = SilentWriter()
-    link = messages.Link(
+    link = connections.Link(
         asyncio.StreamReader(), typing.cast(asyncio.StreamWriter, writer)
     )
     return link, writer
--- a/tests/test_dispatch_messages.py
+++ b/tests/test_dispatch_messages.py
@@ -5,16 +5,19 @@
 import typing
 import unittest
 
+import msgspec
 import uvloop
 
 from poplardrum import errors, ids
 from poplardrum.dispatch import (
     agent,
+    connections,
     coordinator,
     entry_sessions,
     lifecycle,
     links,
     messages,
+    timing,
 )
 from poplardrum.platform import settings_file
 from poplardrum.standins import ports
@@ -112,6 +115,112 @@
         self.assertEqual(unexpected, [])
 
 
+class TestFrames(unittest.IsolatedAsyncioTestCase):
+    """Frames that arrive in pieces, together, or malformed."""
+
+    def setUp(self) -> None:
+        """Create a link whose bytes are fed by the test."""
+        self.reader = asyncio.StreamReader()
+        writer = typing.cast(asyncio.StreamWriter, None)
+        self.link = connections.Link(self.reader, writer)
+
+    def frame(self, *sent: messages.Message) -> bytes:
+        """Return the bytes of a frame."""
+        body = msgspec.msgpack.encode(sent)
+        return len(body).to_bytes(4, 'big') + body
+
+    async def test_frames_that_arrive_together(self) -> None:
+        """Guards against messages lost or out of order between frames."""
+        job = ids.JobId('1')
+        stops = [messages.StopTasks(job, [index]) for index in range(5)]
+        data = self.frame(*stops[:2]) + self.frame() + self.frame(*stops[2:])
+        self.reader.feed_data(data)
+        self.assertEqual(await self.link.receive(), stops)
+
+    async def test_frames_that_arrive_in_pieces(self) -> None:
+        """Guards against a frame that is decoded before all of it is there."""
+        stops = [messages.StopTasks(ids.JobId('1'), list(range(500)))] * 2
+        received: list[messages.AnyMessage] = []
+        data = self.frame(stops[0]) + self.frame(stops[1])
+
+        async def receive() -> None:
+            while len(received) < len(stops):
+                received.extend(await self.link.receive())
+
+        task = asyncio.ensure_future(receive())
+        for start in range(0, len(data), 7):
+            self.reader.feed_data(data[start : start + 7])
+            await asyncio.sleep(0)
+        async with asyncio.timeout(_WAIT_LIMIT_S):
+            await task
+        self.assertEqual(received, stops)
+
+    async def test_malformed_frame_after_a_valid_one(self) -> None:
+        """Guards against a malformed frame that costs the ones before it."""
+        stop = messages.StopTasks(ids.JobId('1'), [0])
+        for malformed in _UNREADABLE_FRAMES[1:]:
+            with self.subTest(malformed=malformed):
+                self.setUp()
+                self.reader.feed_data(self.frame(stop) + malformed)
+                self.assertEqual(await self.link.receive(), [stop])
+                with self.assertRaises(errors.PoplardrumError):
+                    await self.link.receive()
+
+    async def test_end_within_a_frame(self) -> None:
+        """Guards against a link that waits for the rest of a frame for ever."""
+        self.reader.feed_data(self.frame(messages.Ping())[:-1])
+        self.reader.feed_eof()
+        with self.assertRaises(errors.PoplardrumError):
+            await self.link.receive()
+
+
+class TestStartingEntry(unittest.IsolatedAsyncioTestCase):
+    """An entry that listens but still loads its libraries."""
+
+    async def test_agent_waits_for_the_hello(self) -> None:
+        """Guards against connections that pile up at an entry that starts.
+
+        Agents dialled again after 0.6 s; the entry then worked through the
+        connections that had been given up, one after the other.
+        """
+        address = ('127.0.0.1', ports.free_ports(1)[0])
+        connections_seen: list[asyncio.StreamWriter] = []
+        linked = asyncio.Event()
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            connections_seen.append(writer)
+            await asyncio.sleep(timing.LINK_TIMEOUT_S + 0.4)
+            link = connections.Link(reader, writer)
+            link.send(
+                messages.EntryHello('front-1', 'toledo', ids.new_incarnation())
+            )
+            with contextlib.suppress(errors.PoplardrumError):
+                while not linked.is_set():
+                    received = await link.receive()
+                    if any(
+                        isinstance(each, messages.Load) for each in received
+                    ):
+                        linked.set()
+
+        async with contextlib.AsyncExitStack() as stack:
+            server = await asyncio.start_server(serve, *address)
+            stack.callback(server.close)
+            world = dispatch_world.World()
+            config = typing.cast(
+                settings_file.ProcessSettings,
+                dispatch_world.AgentConfig(),
+            )
+            subject = agent.Agent(config, world.executor)
+            stack.callback(subject.close)
+            keep_alive = asyncio.ensure_future(subject.keep_alive.run())
+            stack.callback(keep_alive.cancel)
+            subject.entry_links.add_seeds([address])
+            await wait_for(linked)
+        self.assertEqual(len(connections_seen), 1)
+
+
 class TestLinkWrites(unittest.TestCase):
     """Writes to a connection that has just been closed."""
 
@@ -135,7 +244,7 @@
             await asyncio.sleep(0)
 
         server = await asyncio.start_server(serve, *address)
-        link = messages.Link(*await asyncio.open_connection(*address))
+        link = connections.Link(*await asyncio.open_connection(*address))
         link.writer.transport.abort()
         await asyncio.sleep(0.01)
         link.send(messages.Ping())
