Keep a key that is about to start, and never start one that was ceded

The simulated machine of test_submission_machine applies an outcome at once, so it could not find this.

Change: a query with the outcome `unknown` keeps its key, like one of a higher ranked agent; a record is refused as `unavailable`, not run, while a tombstone promises the key to another agent.

--- a/src/poplardrum/coordination/key_ownership.py
+++ b/src/poplardrum/coordination/key_ownership.py
@@ -90,15 +90,30 @@
         if owner is not None and owner != query.sender.id:
             elsewhere = messages.RecordState.elsewhere
             return self._reply(query, elsewhere, now, owner)
-        if key in self.key_queries and (
-            query.read_only or self._outranks(query)
-        ):
+        if self._keeps(key, query):
             return self._reply(query, messages.RecordState.owned, now)
         granted = query.read_only or self._cede(key, query, now)
         if self.closed or not granted:
             return self._reply(query, messages.RecordState.unable, now)
         return self._reply(query, messages.RecordState.tombstone, now)
 
+    def _keeps(
+        self, key: records.RecordKey, query: messages.AskRecord
+    ) -> bool:
+        """Return whether a running query of this agent goes first.
+
+        A query that found the key unknown is about to start it, so the key
+        can no longer be ceded.
+        """
+        own_query = self.key_queries.get(key)
+        if own_query is None:
+            return False
+        return (
+            query.read_only
+            or own_query.outcome is key_queries.QueryOutcome.unknown
+            or self._outranks(query)
+        )
+
     def _cede(
         self,
         key: records.RecordKey,
--- a/src/poplardrum/coordination/records.py
+++ b/src/poplardrum/coordination/records.py
@@ -95,9 +95,15 @@
         """Add a record of a job that is about to start.
 
         Raises a `PoplardrumError` with code `records_full` if a limit is
-        reached. The caller has found that no other agent owns the key, so a
-        tombstone of it no longer has a use and is removed.
+        reached, and with `unavailable` if a tombstone promises another agent
+        that the job does not start here.
         """
+        if self.tombstone_owner(key, now) is not None:
+            raise errors.refusal(
+                errors.Code.unavailable,
+                'the key was ceded to another agent',
+                retry_after=1,
+            )
         if self.is_full():
             self.remove_expired(now)
         if self.is_full():
