Count ejections of workers

Change: `Ejector.record` returns whether the outcome ejected the worker; entries and agents, which each eject by what they see, count it. Formatting of key_ownership follows the formatter.

--- a/src/poplardrum/coordination/key_ownership.py
+++ b/src/poplardrum/coordination/key_ownership.py
@@ -97,9 +97,7 @@
             return self._reply(query, messages.RecordState.unable, now)
         return self._reply(query, messages.RecordState.tombstone, now)
 
-    def _keeps(
-        self, key: records.RecordKey, query: messages.AskRecord
-    ) -> bool:
+    def _keeps(self, key: records.RecordKey, query: messages.AskRecord) -> bool:
         """Return whether a running query of this agent goes first.
 
         A query that found the key unknown is about to start it, so the key
--- a/src/poplardrum/daemons/admission.py
+++ b/src/poplardrum/daemons/admission.py
@@ -105,13 +105,15 @@
                 continue
             kind_key = (item.tenant, task.kind)
             failed = outcome.code is not errors.Code.ok
-            self.ejector.record(
+            was_ejected = self.ejector.record(
                 outcome.worker,
                 kind_key,
                 failed=failed,
                 now=now,
                 fleet_size=len(self.process.links),
             )
+            if was_ejected:
+                self.process.metrics.count_ejection(outcome.worker)
             if not failed and outcome.seconds > 0:
                 self.estimates.learn(
                     kind_key,
--- a/src/poplardrum/daemons/workers.py
+++ b/src/poplardrum/daemons/workers.py
@@ -74,14 +74,17 @@
                 outcome.seconds,
                 now,
             )
-        if failed or succeeded:
-            self.ejector.record(
-                worker,
-                (tenant, spec.kind),
-                failed=failed,
-                now=now,
-                fleet_size=len(self.process.ready_agents()),
-            )
+        if not failed and not succeeded:
+            return
+        was_ejected = self.ejector.record(
+            worker,
+            (tenant, spec.kind),
+            failed=failed,
+            now=now,
+            fleet_size=len(self.process.ready_agents()),
+        )
+        if was_ejected:
+            self.process.metrics.count_ejection(worker)
 
     def may_serve_claim(self, worker: ids.MemberId, now: float) -> bool:
         """Return whether a worker's claim may get a task.
--- a/src/poplardrum/metrics.py
+++ b/src/poplardrum/metrics.py
@@ -63,7 +63,7 @@
         )
         self.ejections = self.counter(
             'ejections',
-            'Workers ejected by this coordinator',
+            'Workers ejected by this process',
             'worker',
         )
         self.latency = LatencyCollector(f'{_PREFIX}response_seconds')
@@ -97,6 +97,10 @@
         if refused:
             self.refusals.labels(tenant, code).inc()
 
+    def count_ejection(self, worker: str) -> None:
+        """Count the ejection of a worker."""
+        self.ejections.labels(worker).inc()
+
     def replies_by_tenant(self) -> dict[str, dict[str, int]]:
         """Return the number of replies by tenant and code."""
         replies: dict[str, dict[str, int]] = {}
--- a/src/poplardrum/scheduling/ejection.py
+++ b/src/poplardrum/scheduling/ejection.py
@@ -111,10 +111,11 @@
         failed: bool,
         now: float,
         fleet_size: int,
-    ) -> None:
-        """Record an outcome; `fleet_size` is the number of known workers.
+    ) -> bool:
+        """Record an outcome; return whether it ejected the worker.
 
-        Ejects the worker, or ends its ejection, if the evidence suffices.
+        `fleet_size` is the number of known workers. Ejects the worker, or ends
+        its ejection, if the evidence suffices.
         """
         rate = self.failure_rate_elsewhere(worker, kind_key, now)
         tenant, kind = kind_key
@@ -125,14 +126,16 @@
             # Without a failure rate elsewhere, a failure is no evidence
             # against the worker, so the probe counts as a success.
             self._record_probe(worker, health, failed and rate is not None, now)
-            return
+            return False
         if rate is None:
-            return
+            return False
         health.score = max(
             0, health.score + _log_likelihood_ratio(failed, rate)
         )
-        if health.score >= _EJECTION_SCORE and self._may_eject(fleet_size):
-            self._eject(worker, health, now)
+        if health.score < _EJECTION_SCORE or not self._may_eject(fleet_size):
+            return False
+        self._eject(worker, health, now)
+        return True
 
     def failure_rate_elsewhere(
         self,
--- a/tests/test_scheduling_learning.py
+++ b/tests/test_scheduling_learning.py
@@ -4,11 +4,14 @@
 import random
 import typing
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
 
-from poplardrum import ids
+from poplardrum import errors, ids, metrics
+from poplardrum.daemons import workers
+from poplardrum.peers import messages
 from poplardrum.scheduling import ejection, estimates
 
 DETERMINISTIC: typing.Final = hypothesis.settings(
@@ -254,3 +257,29 @@
                     fleet_size=FLEET_SIZE,
                 )
         self.assertFalse(ejector.is_ejected(worker_id(4)))
+
+
+class EjectionMetricTest(unittest.TestCase):
+    """Guards against a counter of ejections that stays at 0."""
+
+    def test_ejection_is_counted_once(self) -> None:
+        """Fails if an ejection is not counted, or each failure is."""
+        process = mock.Mock()
+        process.metrics = metrics.Metrics()
+        process.ready_agents.return_value = range(FLEET_SIZE)
+        learned = workers.Workers(process, mock.Mock())
+        for _ in range(ROUNDS):
+            for worker in range(FLEET_SIZE):
+                code = (
+                    errors.Code.task_failed if worker == 4 else errors.Code.ok
+                )
+                learned.learn(
+                    worker_id(worker),
+                    TENANT,
+                    messages.TaskSpec(ids.TaskKindName('k'), '', 100, False),
+                    messages.TaskOutcome(errors.Verdict.ran, code, seconds=0.1),
+                )
+        ejections = process.metrics.registry.get_sample_value(
+            'poplardrum_ejections_total', {'worker': worker_id(4)}
+        )
+        self.assertEqual(ejections, 1)
