Forget the nodes of owners that are gone; split the tests of stored jobs

Cause: `OwnerTracker.nodes` kept each incarnation of each entry that ever was announced, unless a job of it had been waited for: 1,000 restarts left 1,000 rows. What is dropped now was of no use: an owner without jobs that is not announced. If it does create a job later, its node is unknown and the longer of the two timeouts applies.

--- a/src/poplardrum/dispatch/takeover.py
+++ b/src/poplardrum/dispatch/takeover.py
@@ -78,11 +78,14 @@
         )
 
     def retain_only(self, owners: typing.Collection[ids.Incarnation]) -> None:
-        """Remove all owners but these, which still have jobs."""
-        for owner in list(self.missing_since):
-            if owner not in owners:
-                self.missing_since.pop(owner)
-                self.nodes.pop(owner, None)
+        """Remove all owners but these, which still have jobs.
+
+        The nodes of announced entries are kept as well.
+        """
+        for owner in set(self.missing_since).difference(owners):
+            self.missing_since.pop(owner)
+        for owner in set(self.nodes).difference(owners, self.announced()):
+            self.nodes.pop(owner)
 
 
 class Takeover:
--- a/tests/stored_world.py
+++ b/tests/stored_world.py
@@ -3,6 +3,9 @@
 import asyncio
 import dataclasses
 import typing
+import unittest
+
+import msgspec
 
 from poplardrum import errors, ids
 from poplardrum.dispatch import (
@@ -10,6 +13,7 @@
     coordinator,
     fleet,
     jobs,
+    membership,
     messages,
     ownership,
     record_writer,
@@ -233,3 +237,44 @@
 def is_not_run(error: errors.PoplardrumError) -> bool:
     """Return whether an error guarantees that nothing has run."""
     return error.verdict is errors.Verdict.not_run
+
+
+async def take_over(entry: Entry) -> typing.Any:
+    """Make an entry take over all jobs of owners that are gone."""
+    entry.owner_tracker.missing_since[ids.Incarnation('a')] = -1000.0
+    name = entry.ownership.incarnation
+    member = membership.Member('10.0.0.1', 1, name)
+    entry.store.apply(
+        [
+            store.Change(
+                f'{membership.PREFIX}node-{name}',
+                msgspec.json.encode(member),
+            ),
+        ],
+    )
+    await entry.takeover.scan()
+    return entry.ownership.owned_jobs.get(JOB_ID)
+
+
+class StoredCase(unittest.IsolatedAsyncioTestCase):
+    """Common set-up: one entry with one agent."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the entry."""
+        self.store = MemoryStore()
+        self.entry = self.start('a')
+        self.agent, self.link = self.entry.connect('side-1')
+
+    def start(self, name: str) -> Entry:
+        """Start an entry on the same store."""
+        entry = Entry(self.store, name)
+        self.addAsyncCleanup(entry.close)
+        return entry
+
+    def started_runs(self, link: dispatch_world.FakeLink) -> list[int]:
+        """Return the numbers of the runs started over a link."""
+        return [
+            run.number
+            for request in link.sent_of(messages.StartTasks)
+            for run in request.runs
+        ]
