Bound the numbers of submissions and heartbeats; survive deep nesting

Its demand raised the free capacity of the endpoint that it was placed at, so that other tasks would start beyond the capacity; - a body, heartbeat, announcement, configuration or record nested 100,000 deep raised RecursionError: HTTP 500 instead of 400 to a caller, and in a loop that reads the store a failure at each attempt, which ends the process after 20; - msgspec reports invalid UTF-8 as UnicodeDecodeError in some places, which handlers of DecodeError missed; - a number that MessagePack cannot carry raised OverflowError in `Link.flush`. The messages stayed queued and no flush was ever scheduled again, so one message blocked its link for good. An endpoint that reports such a capacity did that to the links to all entries.

Change: module decoding has one function each for JSON and MessagePack that raise DecodeError for all of these, used by all decoders of both forms, and the types of amounts, sequences and durations with their ranges. A frame that cannot be encoded costs its connection, with a log line; both sides reconcile then.

--- a/src/poplardrum/callers/client.py
+++ b/src/poplardrum/callers/client.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from poplardrum import errors, ids
+from poplardrum import decoding, errors, ids
 from poplardrum.callers import bodies
 
 # For replies without a retry time.
@@ -102,9 +102,8 @@
             data=content,
             headers=headers,
         ) as response:
-            body = msgspec.json.decode(
-                await response.read(),
-                type=bodies.JobReplyBody,
+            body = decoding.decode_json(
+                await response.read(), bodies.JobReplyBody
             )
             return Attempt(entry, response.status, body)
     except aiohttp.ClientConnectorError as error:
--- a/src/poplardrum/callers/requests.py
+++ b/src/poplardrum/callers/requests.py
@@ -9,7 +9,7 @@
 import msgspec
 from aiohttp import web
 
-from poplardrum import errors, ids, settings
+from poplardrum import decoding, errors, ids, settings
 from poplardrum.operators import rules
 from poplardrum.peers import messages
 
@@ -131,7 +131,7 @@
     """
     _check_nesting(body, limits.nesting)
     try:
-        job = msgspec.json.decode(body, type=JobBody)
+        job = decoding.decode_json(body, JobBody)
     except (msgspec.DecodeError, UnicodeError, RecursionError) as error:
         raise errors.refusal(errors.Code.bad_request, str(error)) from None
     allowed = min(limits.tasks, max_tasks)
@@ -154,7 +154,7 @@
 
     `wait` does not count: a resubmission may change it.
     """
-    job = msgspec.json.decode(body, type=JobBody)
+    job = decoding.decode_json(body, JobBody)
     fields = msgspec.json.encode(msgspec.structs.replace(job, wait=True))
     return hashlib.blake2b(fields, digest_size=16).digest()
 
@@ -196,6 +196,6 @@
 def decode_json(body: bytes, kind: type[typing.Any]) -> typing.Any:
     """Decode an operator's request; raise `bad_request` with the field."""
     try:
-        return msgspec.json.decode(body, type=kind)
+        return decoding.decode_json(body, kind)
     except (msgspec.DecodeError, json.JSONDecodeError) as error:
         raise errors.refusal(errors.Code.bad_request, str(error)) from None
--- a/src/poplardrum/daemons/membership.py
+++ b/src/poplardrum/daemons/membership.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from poplardrum import errors, ids
+from poplardrum import decoding, errors, ids
 from poplardrum.peers import handlers, links, messages
 from poplardrum.platform import store
 
@@ -49,7 +49,7 @@
 
 def _stored_incarnation(stored: store.StoredValue) -> ids.Incarnation | None:
     try:
-        member = msgspec.json.decode(stored.value, type=messages.Member)
+        member = decoding.decode_json(stored.value, messages.Member)
     except msgspec.DecodeError:
         return None
     return member.incarnation
@@ -82,7 +82,7 @@
     try:
         snapshot = await platform.read(key)
         for stored in snapshot.values:
-            registered = msgspec.json.decode(stored.value, type=messages.Member)
+            registered = decoding.decode_json(stored.value, messages.Member)
             if registered.incarnation == member.incarnation:
                 await platform.delete(key)
     except (errors.PoplardrumError, msgspec.DecodeError) as error:
@@ -159,7 +159,7 @@
     process: 'node.Node', stored: store.StoredValue
 ) -> None:
     try:
-        member = msgspec.json.decode(stored.value, type=messages.Member)
+        member = decoding.decode_json(stored.value, messages.Member)
     except msgspec.DecodeError as error:
         logger.error('registration %s is malformed: %s', stored.key, error)
         return
--- a/src/poplardrum/dispatch/connections.py
+++ b/src/poplardrum/dispatch/connections.py
@@ -1,13 +1,16 @@
 """Connections between entries and agents, which carry frames of messages."""
 
 import asyncio
+import logging
 import typing
 
 import msgspec
 
-from poplardrum import errors
+from poplardrum import decoding, errors
 from poplardrum.dispatch import clocks, messages
 
+logger = logging.getLogger(__name__)
+
 _LENGTH_BYTES: typing.Final = 4
 MAX_FRAME_BYTES: typing.Final = 4 * 1024 * 1024
 _READ_BYTES: typing.Final = 64 * 1024
@@ -78,8 +81,14 @@
             trailer = self.trailer()
             if trailer is not None:
                 self.pending.append(trailer)
-        body = _encoder.encode(self.pending)
-        self.pending = []
+        pending, self.pending = self.pending, []
+        try:
+            body = _encoder.encode(pending)
+        except (OverflowError, TypeError, ValueError):
+            # The peer reconnects, and both sides compare their active runs.
+            logger.exception('cannot encode a frame')
+            self.abort()
+            return
         length = len(body).to_bytes(_LENGTH_BYTES, 'big')
         self.writer.write(length + body)
         transport = self.writer.transport
@@ -135,7 +144,7 @@
         start = 0
         try:
             while (frame := self._frame_at(start)) is not None:
-                decoded = _decoder.decode(frame)
+                decoded = decoding.decode_message(_decoder, frame)
                 start += _LENGTH_BYTES + len(frame)
                 received = decoded if received is None else received + decoded
         except ValueError:
--- a/src/poplardrum/dispatch/membership.py
+++ b/src/poplardrum/dispatch/membership.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from poplardrum import errors, ids, ini, log_events
+from poplardrum import decoding, errors, ids, ini, log_events
 from poplardrum.dispatch import clocks, messages, timing
 from poplardrum.platform import store
 
@@ -61,7 +61,7 @@
     members = {}
     for stored_value in values:
         try:
-            member = msgspec.json.decode(stored_value.value, type=Member)
+            member = decoding.decode_json(stored_value.value, Member)
         except ValueError:
             logger.warning('cannot decode entry %s', stored_value.key)
             continue
--- a/src/poplardrum/dispatch/records.py
+++ b/src/poplardrum/dispatch/records.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from poplardrum import ids
+from poplardrum import decoding, ids
 from poplardrum.dispatch import jobs
 
 JOBS_PREFIX: typing.Final = 'poplardrum/jobs/'
@@ -108,7 +108,7 @@
 def decode(content: bytes) -> Record | None:
     """Decode a stored record; return `None` if it is no record."""
     try:
-        return _decoder.decode(content)
+        return decoding.decode_message(_decoder, content)
     except ValueError:
         return None
 
--- a/src/poplardrum/dispatch/stored_job_services.py
+++ b/src/poplardrum/dispatch/stored_job_services.py
@@ -14,7 +14,6 @@
 )
 from poplardrum.platform import settings_file, store
 
-
 _VALIDITY_CHECK_INTERVAL_S: typing.Final = 0.1
 
 
--- a/src/poplardrum/dispatch/stored_jobs.py
+++ b/src/poplardrum/dispatch/stored_jobs.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from poplardrum import errors, ids, log_events
+from poplardrum import decoding, errors, ids, log_events
 from poplardrum.dispatch import (
     clocks,
     ownership,
@@ -249,6 +249,6 @@
 
 def _decode_counts(item: store.StoredValue) -> WaitingCounts | None:
     try:
-        return msgspec.json.decode(item.value, type=WaitingCounts)
+        return decoding.decode_json(item.value, WaitingCounts)
     except ValueError:
         return None
--- a/src/poplardrum/endpoints/announcements.py
+++ b/src/poplardrum/endpoints/announcements.py
@@ -7,6 +7,8 @@
 import msgspec
 from aiohttp import web
 
+from poplardrum import decoding
+
 ANNOUNCEMENT_TIMEOUT_S: typing.Final = 3.5
 
 
@@ -71,6 +73,6 @@
 def decode(body: bytes) -> Announcement:
     """Decode an announcement; raise HTTP 400 with the invalid field."""
     try:
-        return msgspec.json.decode(body, type=Announcement)
+        return decoding.decode_json(body, Announcement)
     except msgspec.DecodeError as error:
         raise web.HTTPBadRequest(text=f'announcement: {error}') from None
--- a/src/poplardrum/endpoints/runner.py
+++ b/src/poplardrum/endpoints/runner.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from poplardrum import errors, ids
+from poplardrum import decoding, errors, ids
 from poplardrum.peers import messages
 
 _STATUS_OK: typing.Final = 200
@@ -116,7 +116,7 @@
             headers=_HEADERS,
         ) as response:
             content = await response.read()
-            reply = msgspec.json.decode(content, type=EndpointReply)
+            reply = decoding.decode_json(content, EndpointReply)
             return response.status, reply
 
     def _outcome(
--- a/src/poplardrum/operators/client.py
+++ b/src/poplardrum/operators/client.py
@@ -6,7 +6,7 @@
 import aiohttp
 import msgspec
 
-from poplardrum import errors, ini
+from poplardrum import decoding, errors, ini
 from poplardrum.operators import document, edits, status
 
 _TIMEOUT_S: typing.Final = 30.0
@@ -83,7 +83,7 @@
 
 def _decode(data: bytes, kind: type[_Body]) -> _Body:
     try:
-        return msgspec.json.decode(data, type=kind)
+        return decoding.decode_json(data, kind)
     except msgspec.DecodeError as error:
         raise errors.uncertain_outcome(
             errors.Code.unavailable,
--- a/src/poplardrum/operators/document.py
+++ b/src/poplardrum/operators/document.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from poplardrum import errors, ids, settings
+from poplardrum import decoding, errors, ids, settings
 from poplardrum.operators import rules
 
 # The low bits of a number are a digest of the edit or join that created the
@@ -80,7 +80,7 @@
 
 def decode(data: bytes) -> Document:
     """Decode the stored form; raise `msgspec.DecodeError` if it is invalid."""
-    return msgspec.json.decode(data, type=Document)
+    return decoding.decode_json(data, Document)
 
 
 def next_number(
--- a/src/poplardrum/operators/folder.py
+++ b/src/poplardrum/operators/folder.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from poplardrum import errors, ids
+from poplardrum import decoding, errors, ids
 from poplardrum.operators import document as documents
 from poplardrum.operators import edits, rules
 
@@ -62,7 +62,7 @@
     except FileNotFoundError:
         return Base()
     try:
-        return msgspec.json.decode(data, type=Base)
+        return decoding.decode_json(data, Base)
     except msgspec.DecodeError as error:
         raise _rules_error(f'{path / BASE_FILE}: {error}') from None
 
--- a/src/poplardrum/peers/codec.py
+++ b/src/poplardrum/peers/codec.py
@@ -5,6 +5,8 @@
 import msgspec
 from grpclib.encoding import base
 
+from poplardrum import decoding
+
 
 class MessagePackCodec(base.CodecBase):
     """Encode and decode msgspec structs."""
@@ -26,4 +28,4 @@
         if decoder is None:
             decoder = msgspec.msgpack.Decoder(message_type)
             self.decoders[message_type] = decoder
-        return decoder.decode(data)
+        return decoding.decode_message(decoder, data)
--- a/src/poplardrum/platform/endpoints.py
+++ b/src/poplardrum/platform/endpoints.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from poplardrum import ini
+from poplardrum import decoding, ini
 
 _HTTP_OK: typing.Final = 200
 _HTTP_CONFLICT: typing.Final = 409
@@ -96,9 +96,9 @@
 class Capacity(msgspec.Struct, frozen=True):
     """Resources of an endpoint when it runs nothing."""
 
-    cpu_millicores: int = msgspec.field(name='Cpu')
-    memory_mb: int = msgspec.field(name='RequestedMemoryMb')
-    gpus: int = msgspec.field(default=0, name='Gpus')
+    cpu_millicores: decoding.Amount = msgspec.field(name='Cpu')
+    memory_mb: decoding.Amount = msgspec.field(name='RequestedMemoryMb')
+    gpus: decoding.Amount = msgspec.field(default=0, name='Gpus')
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
@@ -110,10 +110,10 @@
 
     service: str = msgspec.field(name='Service')
     state: typing.Literal['ready', 'draining'] = msgspec.field(name='State')
-    sequence: int = msgspec.field(name='Sequence')
+    sequence: decoding.Sequence = msgspec.field(name='Sequence')
     capacity: Capacity = msgspec.field(name='Capacity')
-    born: int = 0
-    clock_ms: int = msgspec.field(default=0, name='ClockMs')
+    born: decoding.Sequence = 0
+    clock_ms: decoding.Sequence = msgspec.field(default=0, name='ClockMs')
     labels: list[str] = msgspec.field(default_factory=list, name='Labels')
 
 
@@ -163,7 +163,7 @@
 def decode_heartbeat(body: bytes) -> Heartbeat | None:
     """Return the heartbeat, or `None` if it is malformed."""
     try:
-        return msgspec.json.decode(body, type=Heartbeat)
+        return decoding.decode_json(body, Heartbeat)
     except ValueError:
         return None
 
@@ -271,7 +271,7 @@
         if status != _HTTP_OK:
             return _decode_reply(status, body)
         try:
-            return _build_report(msgspec.json.decode(body, type=_ReportBody))
+            return _build_report(decoding.decode_json(body, _ReportBody))
         except ValueError:
             return Reply(RequestResult.unanswered)
 
@@ -331,7 +331,7 @@
         return Reply(RequestResult.unanswered)
     try:
         decoded = (
-            msgspec.json.decode(body, type=_ReplyBody) if body else _ReplyBody()
+            decoding.decode_json(body, _ReplyBody) if body else _ReplyBody()
         )
     except ValueError:
         decoded = _ReplyBody()
--- a/src/poplardrum/platform/job_api.py
+++ b/src/poplardrum/platform/job_api.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from poplardrum import errors, ids
+from poplardrum import decoding, errors, ids
 
 CONFIG_KEY: typing.Final = 'op/config'
 # The header's name says deadline, but its value is a duration.
@@ -66,14 +66,20 @@
     `spread_limit` tasks run at one node, unless it is 0.
     """
 
-    count: int = msgspec.field(name='Count')
-    cpu_millicores: int = msgspec.field(default=0, name='Cpu')
-    memory_mb: int = msgspec.field(default=0, name='RequestedMemoryMb')
-    gpus: int = msgspec.field(default=0, name='Gpus')
-    estimate_ms: float = msgspec.field(default=0, name='EstimatedMs')
+    count: decoding.Amount = msgspec.field(name='Count')
+    cpu_millicores: decoding.Amount = msgspec.field(default=0, name='Cpu')
+    memory_mb: decoding.Amount = msgspec.field(
+        default=0, name='RequestedMemoryMb'
+    )
+    gpus: decoding.Amount = msgspec.field(default=0, name='Gpus')
+    estimate_ms: decoding.DurationMs = msgspec.field(
+        default=0, name='EstimatedMs'
+    )
     data_rack: str = msgspec.field(default='', name='DataRack')
     required_label: str = msgspec.field(default='', name='Requirements')
-    spread_limit: int = msgspec.field(default=0, name='AntiAffinity')
+    spread_limit: decoding.Amount = msgspec.field(
+        default=0, name='AntiAffinity'
+    )
     predecessors: list[int] = msgspec.field(default_factory=list, name='After')
     is_gang: bool = msgspec.field(default=False, name='Gang')
     is_long_running: bool = msgspec.field(default=False, name='LongRunning')
@@ -86,13 +92,13 @@
     specification: str = msgspec.field(name='Specification')
     steps: list[Step] = msgspec.field(name='Steps')
     best_effort: bool = msgspec.field(default=False, name='BestEffort')
-    repetitions: int = msgspec.field(default=0, name='Repetitions')
+    repetitions: decoding.Amount = msgspec.field(default=0, name='Repetitions')
 
 
 def decode_configuration(content: bytes) -> Configuration | None:
     """Return the configuration, or `None` if it cannot be decoded."""
     try:
-        return msgspec.json.decode(content, type=Configuration)
+        return decoding.decode_json(content, Configuration)
     except ValueError:
         return None
 
@@ -105,7 +111,7 @@
     implemented.
     """
     try:
-        submission = msgspec.json.decode(body, type=Submission)
+        submission = decoding.decode_json(body, Submission)
     except ValueError as error:
         raise errors.refusal(errors.Code.bad_request, str(error)) from None
     _check_submission(submission)
@@ -139,10 +145,10 @@
 
 def _check_step(index: int, step: Step) -> None:
     # A step may depend on earlier steps only, which rules out cycles.
-    if step.count < 0 or not set(step.predecessors) <= set(range(index)):
+    if not set(step.predecessors) <= set(range(index)):
         raise errors.refusal(
             errors.Code.bad_request,
-            f'Steps[{index}]: Count or After out of range',
+            f'Steps[{index}]: After out of range',
         )
 
 
--- a/src/poplardrum/platform/kv.py
+++ b/src/poplardrum/platform/kv.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from poplardrum import errors, ini
+from poplardrum import decoding, errors, ini
 from poplardrum.platform import store
 
 _HTTP_OK: typing.Final = 200
@@ -49,7 +49,7 @@
     items: list[msgspec.Raw] = msgspec.field(default_factory=list)
 
 
-class _LeaseReply(msgspec.Struct):
+class LeaseReply(msgspec.Struct):
     lease: int = msgspec.field(name='Lease')
 
 
@@ -139,7 +139,7 @@
         if status == _HTTP_NOT_FOUND:
             return None
         try:
-            return _decode(reply, _Item).to_stored_value()
+            return decode_reply(reply, _Item).to_stored_value()
         except ValueError as error:
             raise store.platform_error(
                 f'platform: GET {key}: {error}',
@@ -171,9 +171,11 @@
         )
         status, reply = await self._call('POST', '/kv-txn', body=body)
         if status == _HTTP_OK:
-            return store.CommitResult(_decode(reply, _CommitReply).revision)
+            return store.CommitResult(
+                decode_reply(reply, _CommitReply).revision
+            )
         current: dict[str, store.StoredValue] = {}
-        _apply_items(current, _decode(reply, _ConflictReply).items)
+        _apply_items(current, decode_reply(reply, _ConflictReply).items)
         return store.CommitResult(0, current)
 
     async def delete(self, key: str) -> None:
@@ -184,7 +186,7 @@
         """Create a lease of `ttl` seconds."""
         body = {'TtlMs': int(ttl * _MS_PER_S)}
         _, reply = await self._call('POST', '/kv-lease', body=body)
-        decoded = _decode(reply, _LeaseReply)
+        decoded = decode_reply(reply, LeaseReply)
         return store.LeaseId(str(decoded.lease))
 
     async def renew_lease(self, lease: store.LeaseId) -> bool:
@@ -210,7 +212,7 @@
         revision = 0
         for _ in range(_MAX_PAGES):
             _, reply = await self._call('GET', '/kv-range', query)
-            page = _decode(reply, _Page)
+            page = decode_reply(reply, _Page)
             # Pages may be of different revisions. A watch from that of the
             # first page returns all changes made while they were read.
             revision = revision or page.revision
@@ -243,7 +245,7 @@
         )
         if status == _HTTP_GONE:
             return None
-        page = _decode(reply, _Page)
+        page = decode_reply(reply, _Page)
         values = self.cached_values[key]
         _apply_items(values, page.events)
         return store.Snapshot(page.revision, list(values.values()))
@@ -303,7 +305,7 @@
     last_key = None
     for row in rows:
         try:
-            item = msgspec.json.decode(row, type=_Item)
+            item = decoding.decode_json(row, _Item)
             value = item.to_stored_value()
         except ValueError:
             continue
@@ -318,9 +320,9 @@
 _Reply = typing.TypeVar('_Reply')
 
 
-def _decode(reply: bytes, kind: type[_Reply]) -> _Reply:
+def decode_reply(reply: bytes, kind: type[_Reply]) -> _Reply:
     try:
-        return msgspec.json.decode(reply, type=kind)
+        return decoding.decode_json(reply, kind)
     except ValueError as error:
         raise errors.uncertain_outcome(
             errors.Code.platform,
--- a/src/poplardrum/platform/settings_file.py
+++ b/src/poplardrum/platform/settings_file.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from poplardrum import errors, ini
+from poplardrum import decoding, errors, ini
 
 _MS_PER_S: typing.Final = 1000
 
@@ -80,9 +80,7 @@
 def load(path: pathlib.Path) -> ProcessSettings:
     """Read the settings; raise `settings` with the file and the field."""
     try:
-        document = msgspec.json.decode(
-            path.read_bytes(), type=_SettingsDocument
-        )
+        document = decoding.decode_json(path.read_bytes(), _SettingsDocument)
         return _build_settings(document)
     except (OSError, ValueError) as error:
         # The message of msgspec has the path of the field.
