Move stalled runs of jobs without a prediction

An entry ignored stragglers of jobs without a prediction, and it has none after a start; stored jobs have none at all.

Change: only slow runs need a prediction; a run without progress is moved.

Test: test_stalled_run_before_the_first_prediction, failed before (no stop was sent).

--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -352,7 +352,9 @@
             return
         job, task = found
         # A task that is a straggler on two endpoints is slow by itself.
-        if task.was_moved or not job.has_prediction or job.outcome.done():
+        if task.was_moved or job.outcome.done():
+            return
+        if not job.has_prediction and straggler.remaining != stragglers.STALLED:
             return
         now = asyncio.get_running_loop().time()
         others = [
--- a/tests/test_dispatch_stragglers.py
+++ b/tests/test_dispatch_stragglers.py
@@ -204,3 +204,19 @@
         await self.report_straggler(job, math.inf)
         await self.report_straggler(job, math.inf)
         self.assertEqual(len(self.link.sent_of(messages.StopTasks)), 1)
+
+    async def test_stalled_run_before_the_first_prediction(self) -> None:
+        """Guards against a stalled task that is held until its deadline.
+
+        An entry that has just started has no predictions yet, and the endpoint
+        that it chose lets tasks stand still. Without a prediction a slow run
+        may be a long task, but one without any progress is not.
+        """
+        job = await self.submit_placed()
+        job.has_prediction = False
+        self.connect('side-2')
+        await self.report_straggler(job, 10.0)
+        self.assertEqual(self.link.sent_of(messages.StopTasks), [])
+        await self.report_straggler(job, math.inf)
+        stops = self.link.sent_of(messages.StopTasks)
+        self.assertEqual(stops, [messages.StopTasks(job.id, [0])])
