Split responses and moves of stragglers from the entry's large modules

Change: responses has the HTTP responses and their log lines; moves decides whether a straggler is moved, and finds the fastest agent with room through the index, so that it no longer depends on the number of agents; the placement request of a step is built in placement.

--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -10,9 +10,9 @@
     fleet,
     jobs,
     messages,
+    moves,
     placement,
     room_index,
-    stragglers,
     timing,
 )
 
@@ -180,22 +180,7 @@
         tasks: list[jobs.Task],
     ) -> bool:
         now = asyncio.get_running_loop().time()
-        avoided: set[str] = set()
-        for task in tasks:
-            avoided |= task.avoided_nodes
-        request = placement.PlacementRequest(
-            step.need,
-            len(tasks),
-            job.service,
-            step.label,
-            step.rack,
-            self.far_factor,
-            avoided,
-            job.max_slowness(now),
-            not job.has_prediction or job.started or now >= job.last_resort_at,
-            step.spread_limit,
-            job.count_by_node(step) if step.spread_limit else {},
-        )
+        request = placement.request_for(job, step, tasks, self.far_factor, now)
         placements = placement.choose_agents(self.index, request)
         for agent, count in placements:
             self._start_tasks(job, agent, tasks[:count])
@@ -289,7 +274,7 @@
         if completion.outcome is messages.Outcome.failed:
             task.avoided_nodes.add(agent.node)
             if task.failures >= job.max_attempts:
-                _set_outcome(job, jobs.JobOutcome.failed)
+                job.resolve(jobs.JobOutcome.failed)
                 return
         self.schedule_placement()
 
@@ -302,7 +287,7 @@
             agent.slowness, _MIN_SLOWNESS
         )
         if all(each.phase is jobs.Phase.done for each in job.tasks):
-            _set_outcome(job, jobs.JobOutcome.completed)
+            job.resolve(jobs.JobOutcome.completed)
         elif job.ready_tasks():
             # A following step may have become ready, or the spread limit
             # allows another task of this step at the node.
@@ -351,44 +336,22 @@
         if found is None or agent.link is None:
             return
         job, task = found
-        # A task that is a straggler on two endpoints is slow by itself.
-        if task.was_moved or job.outcome.done():
-            return
-        if not job.has_prediction and straggler.remaining != stragglers.STALLED:
-            return
         now = asyncio.get_running_loop().time()
-        others = [
-            other
-            for other in self.agents.values()
-            if other is not agent
-            and other.is_usable()
-            and other.matches(job.service, task.step.label)
-            and other.count_fitting(task.step.need)
-        ]
-        if not others:
+        duration = moves.restart_duration(self.index, job, task, straggler, now)
+        if duration is None:
             return
-        restart_duration = job.remaining_duration() * min(
-            other.slowness for other in others
+        task.was_moved = True
+        task.avoided_nodes.add(agent.node)
+        agent.link.send(messages.StopTasks(job.id, [task.index]))
+        log_events.emit(
+            logger,
+            'straggler stopped',
+            job=job.id,
+            agent=agent.node,
+            task=task.index,
+            remaining=straggler.remaining,
+            restart=round(duration, 3),
         )
-        if stragglers.is_worth_moving(
-            now,
-            straggler.remaining,
-            restart_duration,
-            job.arrived_at + job.target_latency,
-            job.target_latency,
-        ):
-            task.was_moved = True
-            task.avoided_nodes.add(agent.node)
-            agent.link.send(messages.StopTasks(job.id, [task.index]))
-            log_events.emit(
-                logger,
-                'straggler stopped',
-                job=job.id,
-                agent=agent.node,
-                task=task.index,
-                remaining=straggler.remaining,
-                restart=round(restart_duration, 3),
-            )
 
     def _requeue(self, job: jobs.Job, task: jobs.Task) -> None:
         task.leave_agent(job.id, jobs.Phase.waiting)
@@ -451,8 +414,3 @@
     agent: fleet.Agent, unacked: messages.UnackedCompletion
 ) -> None:
     """Leave the completion to other entries."""
-
-
-def _set_outcome(job: jobs.Job, outcome: jobs.JobOutcome) -> None:
-    if not job.outcome.done():
-        job.outcome.set_result(outcome)
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -247,6 +247,11 @@
     def _done(self, step: Step) -> bool:
         return all(task.phase is Phase.done for task in self.tasks_of(step))
 
+    def resolve(self, outcome: JobOutcome) -> None:
+        """Set the outcome unless the job has one."""
+        if not self.outcome.done():
+            self.outcome.set_result(outcome)
+
     def placed_tasks(self) -> list[Task]:
         """Return the tasks that have been sent to agents."""
         return [task for task in self.tasks if task.phase is Phase.placed]
--- a/src/poplardrum/dispatch/placement.py
+++ b/src/poplardrum/dispatch/placement.py
@@ -3,7 +3,7 @@
 import types
 import typing
 
-from poplardrum.dispatch import fleet, messages, room_index
+from poplardrum.dispatch import fleet, jobs, messages, room_index
 
 
 class PlacementRequest(typing.NamedTuple):
@@ -37,6 +37,32 @@
 _SCARCE_FREE_FRACTION: typing.Final = 0.35
 
 
+def request_for(
+    job: jobs.Job,
+    step: jobs.Step,
+    tasks: typing.Sequence[jobs.Task],
+    far_factor: float,
+    now: float,
+) -> PlacementRequest:
+    """Return the request to place waiting tasks of one step of a job."""
+    avoided: set[str] = set()
+    for task in tasks:
+        avoided |= task.avoided_nodes
+    return PlacementRequest(
+        step.need,
+        len(tasks),
+        job.service,
+        step.label,
+        step.rack,
+        far_factor,
+        avoided,
+        job.max_slowness(now),
+        not job.has_prediction or job.started or now >= job.last_resort_at,
+        step.spread_limit,
+        job.count_by_node(step) if step.spread_limit else {},
+    )
+
+
 def choose_agents(
     index: room_index.RoomIndex, request: PlacementRequest
 ) -> list[Placement]:
@@ -51,22 +77,22 @@
     traffic between zones costs money, then those with most free CPU. Avoided
     nodes are used only if no other node has free capacity.
     """
-    fitting = _fitting(index, request)
+    available = fitting(index, request)
     if request.avoided_nodes:
-        candidates = list(fitting)
+        candidates = list(available)
         preferred = [
             candidate
             for candidate in candidates
             if candidate[0].node not in request.avoided_nodes
         ]
-        fitting = iter(preferred or candidates)
+        available = iter(preferred or candidates)
     if not request.is_last_resort:
-        fitting = (
+        available = (
             candidate
-            for candidate in fitting
+            for candidate in available
             if effective_slowness(candidate[0], request) <= request.max_slowness
         )
-    return _allocate(fitting, request.task_count)
+    return _allocate(available, request.task_count)
 
 
 def effective_slowness(agent: fleet.Agent, request: PlacementRequest) -> float:
@@ -140,7 +166,7 @@
     return in_time[::-1] + groups[len(in_time) :]
 
 
-def _fitting(
+def fitting(
     index: room_index.RoomIndex, request: PlacementRequest
 ) -> typing.Iterator[Placement]:
     """Yield the agents with room, the preferred ones first."""
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -7,8 +7,7 @@
 
 from aiohttp import web
 
-from poplardrum import errors, ids, log_events
-from poplardrum.callers import replies
+from poplardrum import errors, ids
 from poplardrum.dispatch import (
     admission,
     clocks,
@@ -19,6 +18,7 @@
     metrics,
     records,
     reloading,
+    responses,
     routes,
     stored_jobs,
 )
@@ -34,19 +34,6 @@
 _STARTUP_PERIOD_S: typing.Final = 2.5
 _FIRST_CONFIGURATION_TIMEOUT_S: typing.Final = 0.5
 _MAX_PREDICTORS: typing.Final = 256
-_JSON_CONTENT_TYPE: typing.Final = 'application/json'
-
-# The users' callers submit a job again after 504 and never after 503.
-_HTTP_STATUS: typing.Final = {
-    **replies.STATUS_BY_CODE,
-    errors.Code.unknown_job: 410,
-    errors.Code.key_reused: 504,
-    errors.Code.overload: 503,
-}
-_RESPONSE_BODIES: typing.Final = {
-    jobs.JobOutcome.completed: job_api.COMPLETED_BODY,
-    jobs.JobOutcome.failed: job_api.FAILED_BODY,
-}
 
 
 class RequestHandler:
@@ -95,7 +82,7 @@
             response = await self._dispatch(request, arrived_at)
         except errors.PoplardrumError as error:
             self.metrics.increment('replies', error.code.value)
-            response = _error_response(request, error, arrived_at)
+            response = responses.error_response(request, error, arrived_at)
         finally:
             self.open_requests -= 1
         if self.stopping:
@@ -143,7 +130,7 @@
                 [task.normalized_duration for task in job.tasks],
             )
         self._record_response(job, outcome, arrived_at)
-        return _json_response(_RESPONSE_BODIES[outcome])
+        return responses.outcome_response(outcome)
 
     def _record_response(
         self,
@@ -159,7 +146,7 @@
             job.queue,
             job.started_at - arrived_at,
         )
-        _log_job(job, outcome.value, now)
+        responses.log_job(job, outcome.value, now)
 
     def is_busy(self) -> bool:
         """Return whether this entry has open requests or owns stored jobs."""
@@ -232,7 +219,7 @@
             job_id, record, client_timeout - _RESPONSE_MARGIN_S
         )
         self.metrics.increment('replies', 'stored')
-        return _json_response(job_api.ACCEPTED_BODY)
+        return responses.json_response(job_api.ACCEPTED_BODY)
 
     async def _handle_query(
         self,
@@ -242,14 +229,14 @@
     ) -> web.Response:
         if request.method == 'GET' and request.path == route.prefix:
             count = await self.stored_jobs.count_waiting(route.name)
-            return _json_response(job_api.encode_waiting_count(count))
+            return responses.json_response(job_api.encode_waiting_count(count))
         if job_id is None:
             raise errors.refusal(errors.Code.unknown_job, 'no such job')
         if request.method == 'DELETE':
             await self.stored_jobs.cancel(job_id)
-            return _json_response(job_api.ACCEPTED_BODY)
+            return responses.json_response(job_api.ACCEPTED_BODY)
         state = await self.stored_jobs.state(job_id)
-        return _json_response(job_api.encode_state(state))
+        return responses.json_response(job_api.encode_state(state))
 
     def _make_job(
         self,
@@ -331,10 +318,6 @@
         )
 
 
-def _json_response(content: bytes) -> web.Response:
-    return web.Response(body=content, content_type=_JSON_CONTENT_TYPE)
-
-
 def _make_steps(submission: job_api.Submission) -> list[jobs.Step]:
     steps = []
     first = 0
@@ -356,54 +339,3 @@
         )
         first += step.count
     return steps
-
-
-def _error_response(
-    request: web.BaseRequest,
-    error: errors.PoplardrumError,
-    arrived_at: float,
-) -> web.Response:
-    waited = asyncio.get_running_loop().time() - arrived_at
-    log_events.emit(
-        logger,
-        'request refused',
-        job=request.path.rpartition('/')[2],
-        code=error.code.value,
-        verdict=error.verdict.value,
-        why=error.message,
-        after_ms=_to_ms(waited),
-        host=request.headers.get('Host', ''),
-        path=request.path,
-    )
-    headers = {}
-    if error.retry_after is not None:
-        headers[job_api.RETRY_AFTER_HEADER] = str(math.ceil(error.retry_after))
-    return web.Response(
-        status=_HTTP_STATUS[error.code],
-        headers=headers,
-        body=b'{}',
-        content_type=_JSON_CONTENT_TYPE,
-    )
-
-
-def _log_job(job: jobs.Job, outcome: str, now: float) -> None:
-    log_events.emit(
-        logger,
-        'job answered',
-        job=job.id,
-        outcome=outcome,
-        queue=job.queue,
-        tasks=len(job.tasks),
-        runs=sum(task.run_number for task in job.tasks),
-        time_ms=_to_ms(now - job.arrived_at),
-        aim_ms=_to_ms(job.target_latency),
-        first_start_ms=_to_ms(job.started_at - job.arrived_at),
-        last_start_ms=_to_ms(job.last_placed_at - job.arrived_at),
-        patience_ms=_to_ms(job.client_timeout),
-        estimate_ms=_to_ms(job.estimate),
-        predicted_ms=_to_ms(job.predicted_duration),
-    )
-
-
-def _to_ms(seconds: float) -> int:
-    return int(seconds * _MS_PER_S)
