Simulate entries and agents in virtual time under overlapping faults

Change: tools/simulation runs the real coordinator, links, executor, poller and agent, each process with an event loop of its own whose clock is the simulation's. A process can be paused: its timers are overdue when it goes on. Between them a network with cuts (one way too), resets, delays, dark hosts; endpoints with a slow clock, restarts, requests that are lost, late or unanswered, also late ones whose lease counts from their arrival; callers that submit again. Checked: no two runs at once, capacity, no start that nobody submitted, no refused job that ran, and that nothing is left and all agents are free again at the end. A seed repeats. An agent takes the function that opens its connections.

make simulate SEED= COUNT= SECONDS=

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 export UV_USE_IO_URING := 0
 
-.PHONY: all venv test unit lint format demo bench binary soak score hunt clean
+.PHONY: all venv test unit lint format demo bench binary soak simulate score hunt clean
 
 all: test
 
@@ -48,6 +48,10 @@
 soak: venv
 	$(PY) -m tools.soak --seed $(SEED) --count $(COUNT) --seconds $(SECONDS)
 
+# Virtual time: a scenario of SECONDS=20 takes about three.
+simulate: venv
+	$(PY) -m tools.simulation --seed $(SEED) --count $(COUNT) --seconds $(SECONDS)
+
 # The users' bench stands outside this repository: BENCH=program SITE=file.
 WHY ?= look
 JOBS ?= 5
--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -30,6 +30,11 @@
 _MAX_BACKOFF_S: typing.Final = 1.0
 _RESEND_POLL_INTERVAL_S: typing.Final = 0.25
 
+OpenConnection = typing.Callable[
+    [str, int],
+    typing.Awaitable[tuple[asyncio.StreamReader, asyncio.StreamWriter]],
+]
+
 
 class Agent:
     """Connections to all entries, and the entries' requests.
@@ -41,9 +46,14 @@
         self,
         config: settings_file.ProcessSettings,
         task_executor: executor.Executor,
+        open_connection: OpenConnection = asyncio.open_connection,
     ) -> None:
-        """Create an agent without connections."""
+        """Create an agent without connections.
+
+        `open_connection` connects to the address of an entry.
+        """
         self.config = config
+        self.open_connection = open_connection
         self.executor = task_executor
         self.incarnation = ids.new_incarnation()
         self.sessions: dict[ids.Incarnation, entry_sessions.EntrySession] = {}
@@ -80,7 +90,7 @@
 
     async def _connect(self, address: ini.Address) -> None:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-            streams = await asyncio.open_connection(*address)
+            streams = await self.open_connection(*address)
         link = connections.Link(*streams)
         self.entry_links.links[address] = link
         with contextlib.ExitStack() as stack:
--- /dev/null
+++ b/tests/test_simulation.py
@@ -0,0 +1,46 @@
+"""Simulated fleets under random faults."""
+
+import typing
+import unittest
+from unittest import mock
+
+from poplardrum.dispatch import coordinator, fleet
+from tools.simulation import scenario
+
+_SEEDS: typing.Final = range(1, 9)
+_DURATION_S: typing.Final = 12.0
+# Enough for the fault that is put back to show in some of them.
+_FAULTY_SEEDS: typing.Final = range(1, 25)
+
+
+class TestScenarios(unittest.TestCase):
+    """Entries and agents in virtual time, with faults that overlap."""
+
+    def test_seeds(self) -> None:
+        """Guards against runs that overlap, false refusals and lost agents."""
+        for seed in _SEEDS:
+            with self.subTest(seed=seed):
+                result = scenario.run(seed, _DURATION_S)
+                self.assertEqual(result.violations, [], result.text())
+
+
+class TestSensitivity(unittest.TestCase):
+    """A fault that was mended before, put back, is found."""
+
+    def test_timer_of_an_earlier_loss(self) -> None:
+        """Guards against a simulation that would miss expired agents in use."""
+        expire = coordinator.Coordinator._expire_agent
+
+        def expire_always(
+            self: coordinator.Coordinator, agent: fleet.Agent, loss: int
+        ) -> None:
+            expire(self, agent, agent.losses)
+
+        with mock.patch.object(
+            coordinator.Coordinator, '_expire_agent', expire_always
+        ):
+            found = any(
+                scenario.run(seed, _DURATION_S).violations
+                for seed in _FAULTY_SEEDS
+            )
+        self.assertTrue(found)
