Promise refused callers a return time by the work ahead, in their order

In a flood of three times the capacity for 5 s, callers met the same queue again and those refused last were often served first.

Change: return_times has the rate at which an entry's work is completed and gives out return times one behind another: the accepted work first, then each refused job.

--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -2,16 +2,16 @@
 
 import asyncio
 import logging
-import random
 import typing
 
 from poplardrum import errors, ids, log_events
 from poplardrum.dispatch import (
     fleet,
+    job_placer,
     jobs,
     messages,
     moves,
-    placement,
+    return_times,
     room_index,
     timing,
 )
@@ -20,9 +20,6 @@
 
 # An earlier run of the task is being stopped.
 _CONFLICT_RETRY_DELAY_S: typing.Final = 0.02
-# Upper bound of the random `Retry-After` of refused jobs, which spreads their
-# retries.
-_MAX_RETRY_AFTER_S: typing.Final = 3.0
 # Lower bound of a reported slowness, by which durations are divided.
 _MIN_SLOWNESS: typing.Final = 0.05
 
@@ -36,14 +33,13 @@
         Tasks take `far_factor` times as long outside the rack of their data.
         """
         self.zone = zone
-        self.far_factor = far_factor
         self.agents: dict[ids.Incarnation, fleet.Agent] = {}
         self.index = room_index.RoomIndex(zone)
         self.incarnations: dict[str, set[ids.Incarnation]] = {}
         self.jobs: dict[ids.JobId, jobs.Job] = {}
-        # Jobs that may have tasks to place.
-        self.pending_jobs: dict[ids.JobId, jobs.Job] = {}
-        self.placement_scheduled = False
+        self.placer = job_placer.JobPlacer(self.index, far_factor)
+        self.completion_rate = return_times.CompletionRate()
+        self.return_times = return_times.ReturnTimes()
         # Handles completions of runs that this entry did not start.
         self.on_unclaimed_completion: typing.Callable[
             [fleet.Agent, messages.UnackedCompletion], None
@@ -57,20 +53,20 @@
                 'the job is running here already',
             )
         self.jobs[job.id] = job
-        self.pending_jobs[job.id] = job
+        self.placer.add(job)
         loop = asyncio.get_running_loop()
         if job.owner is None:
-            loop.call_at(job.last_resort_at, self.schedule_placement)
+            loop.call_at(job.last_resort_at, self.placer.schedule)
             loop.call_at(job.refuse_at, self._refuse_unstarted, job)
             loop.call_at(job.deadline, self._time_out, job)
-        self.schedule_placement()
+        self.placer.schedule()
 
     def finish(self, job: jobs.Job) -> None:
         """Remove a job and stop its remaining tasks."""
         if self.jobs.get(job.id) is not job:
             return
         self.jobs.pop(job.id)
-        self.pending_jobs.pop(job.id, None)
+        self.placer.remove(job)
         self.stop_tasks(job)
         for task in job.placed_tasks():
             if task.agent is not None:
@@ -127,111 +123,10 @@
                 self.on_unclaimed_completion(agent, message)
             case messages.Pong():
                 # An agent without a reply to a ping gets no tasks.
-                self.schedule_placement()
+                self.placer.schedule()
             case _:
                 pass
 
-    def schedule_placement(self) -> None:
-        """Place waiting tasks in the next iteration of the event loop."""
-        if self.pending_jobs and not self.placement_scheduled:
-            self.placement_scheduled = True
-            asyncio.get_running_loop().call_soon(self._place_pending)
-
-    def _place_pending(self) -> None:
-        self.placement_scheduled = False
-        # Tasks of a job with an outcome are not started: a job that is refused
-        # as not run must not start before the refusal is sent.
-        waiting = [
-            job
-            for job in self.pending_jobs.values()
-            if not job.outcome.done() and job.ready_tasks()
-        ]
-        self.pending_jobs = {job.id: job for job in waiting}
-        allowed = [
-            job
-            for job in waiting
-            if job.min_cpu() <= self.index.max_free_cpu(job.service)
-            and (job.owner is None or job.owner.may_start(job))
-        ]
-        if not allowed:
-            return
-        now = asyncio.get_running_loop().time()
-        min_slowness = self.index.min_slowness()
-        allowed.sort(key=lambda job: job.placement_priority(now, min_slowness))
-        for job in allowed:
-            # A job that waits for a fast endpoint does not block the others.
-            if self._place_job(job):
-                self.pending_jobs.pop(job.id)
-
-    def _place_job(self, job: jobs.Job) -> bool:
-        """Place the tasks that fit; return whether all tasks are placed."""
-        waiting = job.ready_tasks()
-        all_placed = True
-        for step in job.steps:
-            tasks = [task for task in waiting if task.step is step]
-            if tasks and not self._place_step(job, step, tasks):
-                all_placed = False
-        return all_placed
-
-    def _place_step(
-        self,
-        job: jobs.Job,
-        step: jobs.Step,
-        tasks: list[jobs.Task],
-    ) -> bool:
-        now = asyncio.get_running_loop().time()
-        request = placement.request_for(job, step, tasks, self.far_factor, now)
-        placements = placement.choose_agents(self.index, request)
-        for agent, count in placements:
-            self._start_tasks(job, agent, tasks[:count])
-            tasks = tasks[count:]
-        return not tasks
-
-    def _start_tasks(
-        self,
-        job: jobs.Job,
-        agent: fleet.Agent,
-        tasks: list[jobs.Task],
-    ) -> None:
-        if agent.link is None:
-            return
-        now = asyncio.get_running_loop().time()
-        for task in tasks:
-            task.place(job.id, agent, now)
-        if not job.started:
-            job.started_at = now
-        job.last_placed_at = now
-        job.started = True
-        log_events.emit(
-            logger,
-            'tasks sent',
-            job=job.id,
-            agent=agent.node,
-            tasks=[task.index for task in tasks],
-            runs=[task.run_number for task in tasks],
-            free_cpu=agent.free.cpu_millicores,
-            slowness=agent.slowness,
-        )
-        step = tasks[0].step
-        agent.reserve(step.need, len(tasks))
-        agent.link.send(
-            messages.StartTasks(
-                job.id,
-                job.specification,
-                step.need,
-                step.estimate,
-                [messages.RunId(task.index, task.run_number) for task in tasks],
-                step.number,
-                step.first,
-                job.owner is not None,
-                {
-                    task.index: task.checkpoint
-                    for task in tasks
-                    if task.checkpoint
-                },
-            ),
-        )
-
     def _handle_load(self, agent: fleet.Agent, load: messages.Load) -> None:
         had_cpu = agent.free.cpu_millicores if agent.is_usable() else 0
         agent.apply_load(load)
@@ -243,7 +138,7 @@
                     other = self.agents[incarnation]
                     self._expire_agent(other, other.losses)
         if agent.is_usable() and agent.free.cpu_millicores > had_cpu:
-            self.schedule_placement()
+            self.placer.schedule()
 
     def _handle_completion(
         self, agent: fleet.Agent, completion: messages.Completion
@@ -276,23 +171,23 @@
             if task.failures >= job.max_attempts:
                 job.resolve(jobs.JobOutcome.failed)
                 return
-        self.schedule_placement()
+        self.placer.schedule()
 
     def _complete_task(
         self, job: jobs.Job, task: jobs.Task, agent: fleet.Agent
     ) -> None:
         task.leave_agent(job.id, jobs.Phase.done)
         now = asyncio.get_running_loop().time()
-        task.normalized_duration = (now - task.placed_at) / max(
-            agent.slowness, _MIN_SLOWNESS
-        )
+        duration = now - task.placed_at
+        self.completion_rate.record(task.step.need.cores() * duration, now)
+        task.normalized_duration = duration / max(agent.slowness, _MIN_SLOWNESS)
         if all(each.phase is jobs.Phase.done for each in job.tasks):
             job.resolve(jobs.JobOutcome.completed)
         elif job.ready_tasks():
             # A following step may have become ready, or the spread limit
             # allows another task of this step at the node.
-            self.pending_jobs[job.id] = job
-            self.schedule_placement()
+            self.placer.add(job)
+            self.placer.schedule()
 
     def _handle_refusal(
         self, agent: fleet.Agent, refusal: messages.Refused
@@ -307,10 +202,10 @@
                 task.avoided_nodes.add(agent.node)
         if refusal.reason is messages.Refusal.conflict:
             loop = asyncio.get_running_loop()
-            loop.call_later(_CONFLICT_RETRY_DELAY_S, self.schedule_placement)
+            loop.call_later(_CONFLICT_RETRY_DELAY_S, self.placer.schedule)
         else:
             # The frame of the refusal also has the load that caused it.
-            self.schedule_placement()
+            self.placer.schedule()
 
     def _reconcile_runs(
         self, agent: fleet.Agent, active: messages.ActiveRuns
@@ -327,7 +222,7 @@
         if agent.link is not None:
             for job_id, index, _ in unknown_runs:
                 agent.link.send(messages.StopTasks(job_id, [index]))
-        self.schedule_placement()
+        self.placer.schedule()
 
     def _handle_straggler(
         self, agent: fleet.Agent, straggler: messages.Straggler
@@ -355,7 +250,7 @@
 
     def _requeue(self, job: jobs.Job, task: jobs.Task) -> None:
         task.leave_agent(job.id, jobs.Phase.waiting)
-        self.pending_jobs[job.id] = job
+        self.placer.add(job)
 
     def _find_placed_task(
         self,
@@ -385,7 +280,7 @@
         for job, task in jobs.tasks_at(self.jobs, agent):
             self._requeue(job, task)
             task.avoided_nodes.add(agent.node)
-        self.schedule_placement()
+        self.placer.schedule()
 
     def _refuse_unstarted(self, job: jobs.Job) -> None:
         if not job.started and not job.outcome.done():
@@ -394,11 +289,24 @@
                 errors.refusal(
                     errors.Code.overload,
                     f'no room in time: {usable} agents usable, '
-                    f'{len(self.pending_jobs)} jobs waiting',
-                    retry_after=random.uniform(0, _MAX_RETRY_AFTER_S),
+                    f'{len(self.placer.pending_jobs)} jobs waiting',
+                    retry_after=self._return_time(job),
                 ),
             )
 
+    def _return_time(self, job: jobs.Job) -> float:
+        """Return the seconds after which a refused job may come back."""
+        now = asyncio.get_running_loop().time()
+        backlog = sum(
+            each.remaining_work()
+            for each in self.jobs.values()
+            if not each.outcome.done()
+        )
+        work = job.remaining_work()
+        return self.return_times.promise(
+            now, backlog - work, work, self.completion_rate.value()
+        )
+
     def _time_out(self, job: jobs.Job) -> None:
         if not job.started:
             self._refuse_unstarted(job)
--- /dev/null
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -0,0 +1,137 @@
+"""Placement of the waiting tasks of all jobs of an entry."""
+
+import asyncio
+import logging
+
+from poplardrum import ids, log_events
+from poplardrum.dispatch import fleet, jobs, messages, placement, room_index
+
+logger = logging.getLogger(__name__)
+
+
+class JobPlacer:
+    """Send waiting tasks to agents, the most urgent jobs first.
+
+    Whatever may let a task start calls `schedule`; the pass then runs once in
+    the next iteration of the event loop.
+    """
+
+    def __init__(self, index: room_index.RoomIndex, far_factor: float) -> None:
+        """Place tasks on the agents of an index.
+
+        Tasks take `far_factor` times as long outside the rack of their data.
+        """
+        self.index = index
+        self.far_factor = far_factor
+        # Jobs that may have tasks to place.
+        self.pending_jobs: dict[ids.JobId, jobs.Job] = {}
+        self.is_scheduled = False
+
+    def add(self, job: jobs.Job) -> None:
+        """Look at a job in the next pass."""
+        self.pending_jobs[job.id] = job
+
+    def remove(self, job: jobs.Job) -> None:
+        """Place no more tasks of a job."""
+        self.pending_jobs.pop(job.id, None)
+
+    def schedule(self) -> None:
+        """Place waiting tasks in the next iteration of the event loop."""
+        if self.pending_jobs and not self.is_scheduled:
+            self.is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._place_pending)
+
+    def _place_pending(self) -> None:
+        self.is_scheduled = False
+        # Tasks of a job with an outcome are not started: a job that is refused
+        # as not run must not start before the refusal is sent.
+        waiting = [
+            job
+            for job in self.pending_jobs.values()
+            if not job.outcome.done() and job.ready_tasks()
+        ]
+        self.pending_jobs = {job.id: job for job in waiting}
+        allowed = [
+            job
+            for job in waiting
+            if job.min_cpu() <= self.index.max_free_cpu(job.service)
+            and (job.owner is None or job.owner.may_start(job))
+        ]
+        if not allowed:
+            return
+        now = asyncio.get_running_loop().time()
+        min_slowness = self.index.min_slowness()
+        allowed.sort(key=lambda job: job.placement_priority(now, min_slowness))
+        for job in allowed:
+            # A job that waits for a fast endpoint does not block the others.
+            if self._place_job(job):
+                self.pending_jobs.pop(job.id)
+
+    def _place_job(self, job: jobs.Job) -> bool:
+        """Place the tasks that fit; return whether all tasks are placed."""
+        waiting = job.ready_tasks()
+        all_placed = True
+        for step in job.steps:
+            tasks = [task for task in waiting if task.step is step]
+            if tasks and not self._place_step(job, step, tasks):
+                all_placed = False
+        return all_placed
+
+    def _place_step(
+        self,
+        job: jobs.Job,
+        step: jobs.Step,
+        tasks: list[jobs.Task],
+    ) -> bool:
+        now = asyncio.get_running_loop().time()
+        request = placement.request_for(job, step, tasks, self.far_factor, now)
+        placements = placement.choose_agents(self.index, request)
+        for agent, count in placements:
+            self._start_tasks(job, agent, tasks[:count])
+            tasks = tasks[count:]
+        return not tasks
+
+    def _start_tasks(
+        self,
+        job: jobs.Job,
+        agent: fleet.Agent,
+        tasks: list[jobs.Task],
+    ) -> None:
+        if agent.link is None:
+            return
+        now = asyncio.get_running_loop().time()
+        for task in tasks:
+            task.place(job.id, agent, now)
+        if not job.started:
+            job.started_at = now
+        job.last_placed_at = now
+        job.started = True
+        log_events.emit(
+            logger,
+            'tasks sent',
+            job=job.id,
+            agent=agent.node,
+            tasks=[task.index for task in tasks],
+            runs=[task.run_number for task in tasks],
+            free_cpu=agent.free.cpu_millicores,
+            slowness=agent.slowness,
+        )
+        step = tasks[0].step
+        agent.reserve(step.need, len(tasks))
+        agent.link.send(
+            messages.StartTasks(
+                job.id,
+                job.specification,
+                step.need,
+                step.estimate,
+                [messages.RunId(task.index, task.run_number) for task in tasks],
+                step.number,
+                step.first,
+                job.owner is not None,
+                {
+                    task.index: task.checkpoint
+                    for task in tasks
+                    if task.checkpoint
+                },
+            ),
+        )
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -14,6 +14,7 @@
 _LONGEST_TASK_FACTOR: typing.Final = 1.12
 # Time that the messages and calls of a job take.
 _OVERHEAD_S: typing.Final = 0.015
+_MILLICORES: typing.Final = 1000
 # A job accepts endpoints of any speed this long before it is refused.
 _LAST_RESORT_S: typing.Final = 0.02
 
@@ -189,6 +190,18 @@
             / self.estimate
         )
 
+    def remaining_work(self) -> float:
+        """Return the predicted work of the tasks that are not done.
+
+        It is in core-seconds, with the duration of the longest task for all.
+        """
+        millicores = sum(
+            task.step.need.cpu_millicores
+            for task in self.tasks
+            if task.phase is not Phase.done
+        )
+        return millicores / _MILLICORES * self.remaining_duration()
+
     def min_cpu(self) -> int:
         """Return the least CPU that a task of the job needs, in millicores."""
         return min(step.need.cpu_millicores for step in self.steps)
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -1,12 +1,16 @@
 """Messages between entries and agents."""
 
 import enum
+import typing
 
 import msgspec
 
 from poplardrum import ids, ini
 
 
+_MILLICORES: typing.Final = 1000
+
+
 class Message(msgspec.Struct, frozen=True, array_like=True, tag=True):
     """Base of all messages; fields are sent by position."""
 
@@ -57,6 +61,10 @@
     memory_mb: int
     gpus: int
 
+    def cores(self) -> float:
+        """Return the CPU in cores."""
+        return self.cpu_millicores / _MILLICORES
+
     def covers(self, demand: 'Resources') -> bool:
         """Return whether this free capacity is enough for a demand."""
         return (
--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -262,8 +262,8 @@
             is record_writer.WriteResult.committed
         ):
             owned.confirmed = True
-            self.coordinator.pending_jobs[owned.job.id] = owned.job
-            self.coordinator.schedule_placement()
+            self.coordinator.placer.add(owned.job)
+            self.coordinator.placer.schedule()
         else:
             self.relinquish(owned)
 
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -162,7 +162,7 @@
         return {
             'agents_usable': sum(agent.is_usable() for agent in agents),
             'jobs_in_progress': len(self.coordinator.jobs),
-            'jobs_waiting': len(self.coordinator.pending_jobs),
+            'jobs_waiting': len(self.coordinator.placer.pending_jobs),
             'stored_jobs_owned': len(self.stored_jobs.ownership.owned_jobs),
             'records_to_commit': len(
                 self.stored_jobs.ownership.writer.dirty_records
