Encode log lines by msgspec

Cause: by a profile of an entry under 56 jobs a second, log lines took 13% of its time, a quarter of that in json. A straggler without progress logged 'Infinity', which is no JSON; it is null now.

--- a/src/poplardrum/log_events.py
+++ b/src/poplardrum/log_events.py
@@ -1,12 +1,13 @@
 """Structured log events on standard output, rate-limited and non-blocking."""
 
-import json
 import logging
 import os
 import sys
 import time
 import typing
 
+import msgspec
+
 _MAX_LINES_PER_S: typing.Final = 400.0
 _MAX_BURST_LINES: typing.Final = 800.0
 
@@ -66,7 +67,7 @@
         if record.exc_info:
             formatter = logging.Formatter()
             fields['error'] = formatter.formatException(record.exc_info)
-        return json.dumps(fields, default=str).encode() + b'\n'
+        return msgspec.json.encode(fields, enc_hook=str) + b'\n'
 
 
 def emit(
