Give the line of indented sections in rule and settings files

Cause: the file accepts an indented header, ' [0]', but the table of lines knew only headers in the first column, so the error said line 0. A continued value that looks like a header no longer counts as one either.

Test: the example in RulesTest.test_any_text, failed before.

--- a/src/poplardrum/ini.py
+++ b/src/poplardrum/ini.py
@@ -104,17 +104,30 @@
 
 
 def _line_numbers(text: str) -> dict[tuple[str, str], int]:
+    """Return the lines of sections and options, which may be indented.
+
+    As in configparser, a line that is indented more than the option before it
+    continues its value.
+    """
     line_numbers: dict[tuple[str, str], int] = {}
     section = ''
+    # Of the last option in the section, `None` without one.
+    option_indent: int | None = None
     # configparser splits lines at newlines only, unlike `str.splitlines`.
     for number, line in enumerate(text.split('\n'), start=1):
-        header = _SECTION_PATTERN.match(line)
+        content = line.strip()
+        indent = len(line) - len(line.lstrip())
+        if option_indent is not None and indent > option_indent:
+            continue
+        header = _SECTION_PATTERN.match(content)
         if header:
             section = header.group('name')
+            option_indent = None
             line_numbers.setdefault((section, ''), number)
             continue
-        option = _OPTION_PATTERN.match(line)
+        option = _OPTION_PATTERN.match(content)
         if option:
+            option_indent = indent
             line_numbers.setdefault(
                 (section, option.group('name').lower()), number
             )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,6 +9,7 @@
 
 from poplardrum import errors
 from poplardrum.operators import rules
+from tests import profiles
 
 DIGEST: typing.Final = hashlib.sha256(b'a').hexdigest()
 OTHER: typing.Final = hashlib.sha256(b'b').hexdigest()
@@ -162,13 +163,14 @@
             ),
         )
 
-    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @profiles.settings()
     @hypothesis.given(
         strategies.text(
             strategies.sampled_from('[]=:#; \t\r\n\x0b\x00azAZ019.\u2028'),
             max_size=60,
         ),
     )
+    @hypothesis.example(' [0]')
     def test_any_text(self, text: str) -> None:
         """Guards against text that fails without file and line."""
         try:
