--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 export UV_USE_IO_URING := 0
 
-.PHONY: all venv test unit lint format demo bench binary soak simulate score hunt clean
+.PHONY: all venv test unit lint format demo bench binary soak simulate fuzz score hunt clean
 
 all: test
 
@@ -52,6 +52,10 @@
 simulate: venv
 	$(PY) -m tools.simulation --seed $(SEED) --count $(COUNT) --seconds $(SECONDS)
 
+# Random examples and seeds until the time is over.
+fuzz: venv
+	$(PY) -m tools.fuzz --seconds $(SECONDS)
+
 # The users' bench stands outside this repository: BENCH=program SITE=file.
 WHY ?= look
 JOBS ?= 5
--- a/tests/test_admission_rules.py
+++ b/tests/test_admission_rules.py
@@ -10,13 +10,9 @@
 
 from poplardrum import errors, ids
 from poplardrum.scheduling import admission
+from tests import profiles
 
-DETERMINISTIC: typing.Final = hypothesis.settings(
-    derandomize=True,
-    database=None,
-    max_examples=100,
-    deadline=None,
-)
+DETERMINISTIC: typing.Final = profiles.settings(max_examples=100)
 FLOODING: typing.Final = ids.TenantName('flooding')
 OTHER: typing.Final = ids.TenantName('other')
 RULES: typing.Final[tuple[admission.AdmissionPolicy, ...]] = (
--- a/tests/test_dispatch_decisions.py
+++ b/tests/test_dispatch_decisions.py
@@ -21,7 +21,7 @@
     room_index,
     timing,
 )
-from tests import dispatch_world
+from tests import dispatch_world, profiles
 
 CAPACITY: typing.Final = messages.Resources(16000, 65536, 0)
 DEMAND: typing.Final = messages.Resources(1600, 64, 0)
@@ -173,7 +173,7 @@
         placements = choose_agents(agents, request)
         self.assertEqual(counts_by_node(placements), [('good', 1)])
 
-    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @profiles.settings()
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(
--- a/tests/test_dispatch_links.py
+++ b/tests/test_dispatch_links.py
@@ -21,7 +21,7 @@
     neighbours,
     timing,
 )
-from tests import dispatch_world
+from tests import dispatch_world, profiles
 
 ZONES: typing.Final = ('toledo', 'erie', 'buffalo', 'cleveland', 'milwaukee')
 
@@ -215,9 +215,7 @@
         entry_count=strategies.integers(20, 150),
         agent_count=strategies.integers(150, 700),
     )
-    @hypothesis.settings(
-        max_examples=15, derandomize=True, database=None, deadline=None
-    )
+    @profiles.settings(max_examples=15)
     def test_links_are_bounded_and_even(
         self, entry_count: int, agent_count: int
     ) -> None:
--- a/tests/test_dispatch_room_index.py
+++ b/tests/test_dispatch_room_index.py
@@ -16,7 +16,7 @@
     placement,
     room_index,
 )
-from tests import dispatch_world
+from tests import dispatch_world, profiles
 
 CAPACITY: typing.Final = messages.Resources(16000, 65536, 0)
 DEMAND: typing.Final = messages.Resources(2500, 64, 0)
@@ -83,7 +83,7 @@
 class TestRoomIndex(unittest.TestCase):
     """What the index lists."""
 
-    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @profiles.settings()
     @hypothesis.given(CHANGES)
     def test_index_follows_its_agents(self, changes: list[Change]) -> None:
         """Guards against agents that are listed twice, late or for ever."""
@@ -107,7 +107,7 @@
                 agent.free.cpu_millicores, index.max_free_cpu('intake')
             )
 
-    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @profiles.settings()
     @hypothesis.given(CHANGES, strategies.integers(1, 80))
     def test_all_room_is_found(self, changes: list[Change], count: int) -> None:
         """Guards against jobs that wait although endpoints have room."""
--- a/tests/test_execution_model.py
+++ b/tests/test_execution_model.py
@@ -9,7 +9,7 @@
 
 from poplardrum import errors, ids
 from poplardrum.peers import messages
-from tests import execution_model
+from tests import execution_model, profiles
 
 COORDINATORS: typing.Final = st.sampled_from(('c0', 'c1'))
 WORKERS: typing.Final = st.sampled_from(('w0', 'w1'))
@@ -230,12 +230,9 @@
         """Guards against orders of faults that no other test covers."""
         stateful.run_state_machine_as_test(
             GrantMachine,
-            settings=hypothesis.settings(
+            settings=profiles.settings(
                 max_examples=300,
                 stateful_step_count=80,
-                derandomize=True,
-                database=None,
-                deadline=None,
                 phases=(hypothesis.Phase.generate,),
             ),
         )
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -12,10 +12,9 @@
 from poplardrum import errors, ids
 from poplardrum.dispatch import connections, membership, messages, records
 from poplardrum.platform import endpoints, job_api, kv, store
+from tests import profiles
 
-DETERMINISTIC: typing.Final = hypothesis.settings(
-    derandomize=True, database=None, max_examples=200, deadline=None
-)
+EXAMPLES: typing.Final = profiles.settings(max_examples=200)
 NESTING: typing.Final = 100_000
 NESTED_JSON: typing.Final = b'[' * NESTING + b']' * NESTING
 HUGE: typing.Final = 2**70
@@ -90,7 +89,7 @@
         """Fails if a deeply nested body is an internal error."""
         self.assert_refused(b'{"x":' + NESTED_JSON + b'}')
 
-    @DETERMINISTIC
+    @EXAMPLES
     @hypothesis.given(bodies)
     def test_any_body(self, body: bytes) -> None:
         """Fails if a body raises anything but a refusal."""
@@ -123,7 +122,7 @@
             endpoints.decode_heartbeat(b'{"x":' + NESTED_JSON + b'}')
         )
 
-    @DETERMINISTIC
+    @EXAMPLES
     @hypothesis.given(bodies)
     def test_any_body(self, body: bytes) -> None:
         """Fails if a heartbeat raises."""
@@ -155,7 +154,7 @@
         content = bytes([encoded[0] + 1]) + encoded[1:]
         self.assertIsNone(records.decode(content + b'\x91' * NESTING + b'\x90'))
 
-    @DETERMINISTIC
+    @EXAMPLES
     @hypothesis.given(bodies)
     def test_any_value(self, content: bytes) -> None:
         """Fails if a value of another writer raises."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 from poplardrum import errors
 from poplardrum.platform import consul, store, throttling
 from poplardrum.standins import platform, ports
+from tests import profiles
 
 WORKERS: typing.Final = 700
 KEY: typing.Final = 'poplardrum/test'
@@ -164,7 +165,7 @@
         self.assertLessEqual(max(calls[60:]), 150)
         self.assertLessEqual(sum(calls[60:]), 70 * 240)
 
-    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @profiles.settings()
     @hypothesis.given(
         strategies.lists(
             strategies.sampled_from(('enter', 'fail', 'succeed', 'abandon')),
@@ -188,7 +189,7 @@
         breaker.record_cancellation()
         self.assertEqual(breaker.admit(now + 2), 0)
 
-    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @profiles.settings()
     @hypothesis.given(
         strategies.lists(strategies.floats(0, 1), max_size=200),
         strategies.integers(1, 20),
--- a/tests/test_scheduling_learning.py
+++ b/tests/test_scheduling_learning.py
@@ -13,13 +13,9 @@
 from poplardrum.daemons import workers
 from poplardrum.peers import messages
 from poplardrum.scheduling import ejection, estimates
+from tests import profiles
 
-DETERMINISTIC: typing.Final = hypothesis.settings(
-    derandomize=True,
-    database=None,
-    max_examples=50,
-    deadline=None,
-)
+DETERMINISTIC: typing.Final = profiles.settings(max_examples=50)
 TENANT: typing.Final = ids.TenantName('lakeshore')
 FLEET_SIZE: typing.Final = 10
 ROUNDS: typing.Final = 60
--- a/tests/test_scheduling_placement.py
+++ b/tests/test_scheduling_placement.py
@@ -10,13 +10,9 @@
 
 from poplardrum import ids
 from poplardrum.scheduling import ordering, placement
+from tests import profiles
 
-DETERMINISTIC: typing.Final = hypothesis.settings(
-    derandomize=True,
-    database=None,
-    max_examples=150,
-    deadline=None,
-)
+DETERMINISTIC: typing.Final = profiles.settings(max_examples=150)
 CANDIDATES: typing.Final = strategies.lists(
     strategies.builds(
         placement.Candidate,
--- a/tests/test_scheduling_queue.py
+++ b/tests/test_scheduling_queue.py
@@ -11,13 +11,9 @@
 
 from poplardrum import ids
 from poplardrum.scheduling import queue
+from tests import profiles
 
-DETERMINISTIC: typing.Final = hypothesis.settings(
-    derandomize=True,
-    database=None,
-    max_examples=40,
-    deadline=None,
-)
+DETERMINISTIC: typing.Final = profiles.settings(max_examples=40)
 SLOTS: typing.Final = 8
 TENANT: typing.Final = ids.TenantName('a')
 OTHER_TENANT: typing.Final = ids.TenantName('b')
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from poplardrum import errors, settings
+from tests import profiles
 
 VALID: typing.Final = """[process]
 id = agent-1
@@ -69,9 +70,7 @@
         '[platform] address: missing',
     ),
 )
-DETERMINISTIC: typing.Final = hypothesis.settings(
-    derandomize=True, database=None
-)
+DETERMINISTIC: typing.Final = profiles.settings()
 
 
 class SettingsTest(unittest.TestCase):
--- a/tests/test_submission_machine.py
+++ b/tests/test_submission_machine.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from poplardrum import ids
-from tests import submission_stops, submission_world
+from tests import profiles, submission_stops, submission_world
 
 AGENTS: typing.Final = 4
 ENTRIES: typing.Final = 2
@@ -221,10 +221,7 @@
         assert not self.world.false_refusals
 
 
-SubmissionMachine.TestCase.settings = hypothesis.settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
+SubmissionMachine.TestCase.settings = profiles.settings(
     max_examples=300,
     stateful_step_count=60,
     suppress_health_check=list(hypothesis.HealthCheck),
