--- a/bench/policy_callers.py
+++ b/bench/policy_callers.py
@@ -9,7 +9,7 @@
 from bench import policy_parts as parts
 from bench import policy_workload as workload
 from poplardrum import errors, ids
-from poplardrum.scheduling import admission
+from poplardrum.scheduling import admission, admission_policies
 
 CLIENT_TIMEOUT_S: typing.Final = 10.0
 RESUBMIT_INTERVAL_S: typing.Final = 3.0
@@ -27,7 +27,7 @@
     max_backlog_s: float = 5.0
 
 
-AdmissionRule = BacklogLimit | admission.AdmissionPolicy
+AdmissionRule = BacklogLimit | admission_policies.AdmissionPolicy
 
 
 class Entry:
@@ -106,7 +106,7 @@
         ]
         assert self.admission
         self.admission.admit(
-            admission.JobRequest(
+            admission_policies.JobRequest(
                 job.tenant,
                 len(expected_s),
                 sum(expected_s),
--- a/bench/policy_flood.py
+++ b/bench/policy_flood.py
@@ -13,7 +13,7 @@
 from bench import policy_parts as parts
 from bench import policy_workload as workload
 from poplardrum import ids
-from poplardrum.scheduling import admission
+from poplardrum.scheduling import admission_policies
 
 FLOOD_TENANT: typing.Final = ids.TenantName('flood')
 OTHER_TENANTS: typing.Final = ('lakeshore', 'consorcio')
@@ -181,11 +181,16 @@
             parts.Scenario(has_shared_queue=True),
             callers.BacklogLimit(),
         ),
-        'capacity_rate': (fair_scenario, admission.LeakyBucket()),
-        'expected_wait': (fair_scenario, admission.ExpectedWaitLimit()),
-        'graded': (fair_scenario, admission.GradedRefusal()),
+        'capacity_rate': (fair_scenario, admission_policies.LeakyBucket()),
+        'expected_wait': (
+            fair_scenario,
+            admission_policies.ExpectedWaitLimit(),
+        ),
+        'graded': (fair_scenario, admission_policies.GradedRefusal()),
     }
-    unflooded = measure(fair_scenario, admission.ExpectedWaitLimit(), None)
+    unflooded = measure(
+        fair_scenario, admission_policies.ExpectedWaitLimit(), None
+    )
     print(f'calm.p99 {unflooded.p99_response_s():.3f} s')
     print(f'calm.slots_used {unflooded.slots_used:.3f} ratio')
     for name, (scenario, rule) in scenarios.items():
--- a/bench/returns_model.py
+++ b/bench/returns_model.py
@@ -128,9 +128,7 @@
         )
         backlog += sum(each.duration for each in self.waiting)
         delay = self.policy(
-            RefusedJob(
-                self.now, backlog, job.duration, self.rate.value()
-            )
+            RefusedJob(self.now, backlog, job.duration, self.rate.value())
         )
         if job.attempts < MAX_ATTEMPTS:
             # The reply has whole seconds.
--- a/src/poplardrum/daemons/admission.py
+++ b/src/poplardrum/daemons/admission.py
@@ -10,7 +10,12 @@
 from poplardrum import errors, ids
 from poplardrum.operators import rules
 from poplardrum.peers import messages
-from poplardrum.scheduling import admission, ejection, estimates
+from poplardrum.scheduling import (
+    admission,
+    admission_policies,
+    ejection,
+    estimates,
+)
 
 if typing.TYPE_CHECKING:
     from poplardrum.daemons import entry
@@ -44,7 +49,7 @@
         self.estimates = estimates.Estimates()
         self.ejector = ejection.Ejector()
         self.controller = admission.AdmissionController(
-            admission.ExpectedWaitLimit(),
+            admission_policies.ExpectedWaitLimit(),
             process.random,
         )
         self.applied_rules: rules.Rules | None = None
@@ -145,14 +150,16 @@
             backlog=backlog,
         )
 
-    def _build_request(self, item: messages.SubmitJob) -> admission.JobRequest:
+    def _build_request(
+        self, item: messages.SubmitJob
+    ) -> admission_policies.JobRequest:
         times = [self._expected_s(item, task) for task in item.tasks]
         trusted = [
             seconds
             for task, seconds in zip(item.tasks, times, strict=True)
             if self.estimates.is_trusted(item.tenant, task.kind)
         ]
-        return admission.JobRequest(
+        return admission_policies.JobRequest(
             tenant=item.tenant,
             task_count=len(times),
             slot_seconds=math.fsum(times),
--- a/tests/test_admission_rules.py
+++ b/tests/test_admission_rules.py
@@ -9,18 +9,18 @@
 from hypothesis import strategies
 
 from poplardrum import errors, ids
-from poplardrum.scheduling import admission
+from poplardrum.scheduling import admission, admission_policies
 from tests import profiles
 
 DETERMINISTIC: typing.Final = profiles.settings(max_examples=100)
 FLOODING: typing.Final = ids.TenantName('flooding')
 OTHER: typing.Final = ids.TenantName('other')
-RULES: typing.Final[tuple[admission.AdmissionPolicy, ...]] = (
-    admission.LeakyBucket(),
-    admission.ExpectedWaitLimit(),
-    admission.GradedRefusal(),
+RULES: typing.Final[tuple[admission_policies.AdmissionPolicy, ...]] = (
+    admission_policies.LeakyBucket(),
+    admission_policies.ExpectedWaitLimit(),
+    admission_policies.GradedRefusal(),
 )
-JOB: typing.Final = admission.JobRequest(
+JOB: typing.Final = admission_policies.JobRequest(
     FLOODING, 10, 4.0, 0.4, 60, is_first_attempt=True
 )
 
@@ -34,7 +34,7 @@
 class Flood:
     """Simulation of a tenant that offers ten times the fleet's capacity."""
 
-    def __init__(self, rule: admission.AdmissionPolicy) -> None:
+    def __init__(self, rule: admission_policies.AdmissionPolicy) -> None:
         """Start without backlog; another tenant is always active."""
         self.admission = admission.AdmissionController(rule, random.Random(1))
         self.backlog = 0.0
@@ -56,7 +56,7 @@
             self.backlog -= served
             self.peak_backlog = max(self.peak_backlog, self.backlog)
 
-    def offer(self, job: admission.JobRequest, now: float) -> float:
+    def offer(self, job: admission_policies.JobRequest, now: float) -> float:
         """Offer one job; return the work admitted."""
         load = fleet_load(flooding=self.backlog)
         try:
@@ -106,7 +106,7 @@
         seed: int,
     ) -> None:
         """Fails if a retry after the stated time is refused, or is late."""
-        rule = admission.ExpectedWaitLimit(2)
+        rule = admission_policies.ExpectedWaitLimit(2)
         controller = admission.AdmissionController(rule, random.Random(seed))
         controller.set_limits({FLOODING: admission.TenantLimits(share)})
         job = dataclasses.replace(JOB, slot_seconds=4000, time_left_s=1e9)
@@ -136,21 +136,21 @@
         waits: list[float],
     ) -> None:
         """Fails if fewer arrivals are refused at a longer wait."""
-        rule = admission.GradedRefusal(2)
+        rule = admission_policies.GradedRefusal(2)
         refused = []
         for wait in sorted(waits):
             count = 0
             for percent in range(100):
-                context = admission.AdmissionContext(
-                    admission.TenantState(),
+                context = admission_policies.AdmissionContext(
+                    admission_policies.TenantState(),
                     JOB,
-                    admission.Rates(80, 80, 0),
+                    admission_policies.Rates(80, 80, 0),
                     wait,
                     0,
                     percent / 100,
                     is_within_share=False,
                 )
-                count += bool(admission.retry_delay(rule, context))
+                count += bool(admission_policies.retry_delay(rule, context))
             refused.append(count)
         self.assertEqual(refused, sorted(refused))
         longest = max(waits)
@@ -159,21 +159,21 @@
 
     def test_graded_fractions(self) -> None:
         """Fails if the steps do not refuse 20, 40, 60 and 80 percent."""
-        rule = admission.GradedRefusal(5)
+        rule = admission_policies.GradedRefusal(5)
         for step, fraction in enumerate((0, 0.2, 0.4, 0.6, 0.8, 1)):
             for draw, refused in ((fraction - 0.01, True), (fraction, False)):
                 if not 0 <= draw < 1:
                     continue
-                context = admission.AdmissionContext(
-                    admission.TenantState(),
+                context = admission_policies.AdmissionContext(
+                    admission_policies.TenantState(),
                     JOB,
-                    admission.Rates(80, 80, 0),
+                    admission_policies.Rates(80, 80, 0),
                     step + 0.5,
                     0,
                     draw,
                     is_within_share=False,
                 )
-                is_refused = bool(admission.retry_delay(rule, context))
+                is_refused = bool(admission_policies.retry_delay(rule, context))
                 self.assertEqual(is_refused, refused)
 
 
