--- a/bench/cost_memory.py
+++ b/bench/cost_memory.py
@@ -7,14 +7,14 @@
 import typing
 
 from bench import figures
-from poplardrum.standins import data, fleet, http
+from poplardrum.standins import data, fleet, http, processes
 
 _JOB_COUNT: typing.Final = 40
 _CREDENTIAL: typing.Final = 'harbor-freight-demo'
 _MEMORY_BOUND_MB: typing.Final = 64
 
 
-def peak_mb(process: fleet.Process) -> float:
+def peak_mb(process: processes.Process) -> float:
     """Return the peak resident set size of a process (VmHWM) in MB."""
     return figures.process_status_kb(process.handle.pid, 'VmHWM') / 1024
 
--- a/bench/cost_roles.py
+++ b/bench/cost_roles.py
@@ -10,7 +10,7 @@
 import typing
 
 from bench import figures, process_system
-from poplardrum.standins import fleet
+from poplardrum.standins import fleet, processes
 
 _IDLE_DURATION_S: typing.Final = 5.0
 _LOAD_DURATION_S: typing.Final = 6.0
@@ -35,7 +35,7 @@
     resident_kb: int
 
 
-def read_usage(process: fleet.Process) -> Usage:
+def read_usage(process: processes.Process) -> Usage:
     """Return the usage of a process; bytes count its reads and writes."""
     pid = process.handle.pid
     lines = pathlib.Path(f'/proc/{pid}/io').read_text().splitlines()
--- a/src/poplardrum/daemons/backlog.py
+++ b/src/poplardrum/daemons/backlog.py
@@ -8,7 +8,7 @@
 from poplardrum.scheduling import queue
 
 if typing.TYPE_CHECKING:
-    from poplardrum.daemons import slots
+    from poplardrum.daemons import worker_tasks
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,7 +22,7 @@
 class Reservation:
     """Job whose tasks may be claimed from its coordinator."""
 
-    coordinator: 'slots.CoordinatorRef'
+    coordinator: 'worker_tasks.CoordinatorRef'
     job: ids.JobId
 
 
@@ -66,7 +66,7 @@
 
     def push_reservation(
         self,
-        coordinator: 'slots.CoordinatorRef',
+        coordinator: 'worker_tasks.CoordinatorRef',
         item: messages.Reserve,
         now: float,
     ) -> None:
@@ -86,7 +86,7 @@
 
     def release(
         self,
-        coordinator: 'slots.CoordinatorRef',
+        coordinator: 'worker_tasks.CoordinatorRef',
         released: typing.Iterable[ids.JobId],
     ) -> None:
         """Remove the reservations of released jobs."""
--- a/src/poplardrum/daemons/slots.py
+++ b/src/poplardrum/daemons/slots.py
@@ -3,14 +3,12 @@
 Times are monotonic seconds of the worker's process.
 """
 
-import dataclasses
-import enum
 import itertools
 import typing
 
 from poplardrum import errors, ids
-from poplardrum.daemons import backlog, history
-from poplardrum.peers import frames, messages
+from poplardrum.daemons import backlog, history, worker_tasks
+from poplardrum.peers import messages
 
 # A coordinator replies to a claim within a round trip; one that is paused must
 # not block a slot for the other items of the queue.
@@ -18,99 +16,12 @@
 _CLAIM_EXPIRY_S: typing.Final = 10.0
 
 
-class CoordinatorRef(typing.NamedTuple):
-    """Reference to one incarnation of a coordinator."""
-
-    member: ids.MemberId
-    incarnation: ids.Incarnation
-
-
-class Phase(enum.Enum):
-    """Phase of a task at the worker."""
-
-    queued = 'queued'
-    running = 'running'
-    stopping = 'stopping'
-
-
-@dataclasses.dataclass
-class WorkerTask:
-    """Task that is queued or running at this worker.
-
-    `expected_s` is the time that its tenant was charged at the start.
-    """
-
-    start: messages.Start
-    lease_expires_at: float
-    deadline: float
-    phase: Phase = Phase.queued
-    expected_s: float = 0
-
-    @property
-    def coordinator(self) -> CoordinatorRef:
-        """Return the coordinator that granted the task."""
-        return CoordinatorRef(self.start.coordinator, self.start.incarnation)
-
-    @property
-    def task_id(self) -> ids.TaskId:
-        """Return the id of the task."""
-        return self.start.task
-
-    def lapse_reason(self, now: float) -> errors.Code | None:
-        """Return why the task must not start any more, `None` if it may."""
-        if min(self.lease_expires_at, self.deadline) <= now:
-            return errors.Code.deadline
-        return None
-
-
-@dataclasses.dataclass
-class OpenClaim:
-    """Claim without a reply; a slot is reserved for it if `reserves_slot`.
-
-    Its tenant was charged `expected_s` when the claim was sent.
-    """
-
-    coordinator: CoordinatorRef
-    tenant: ids.TenantName
-    expected_s: float
-    sent_at: float
-    reserves_slot: bool = True
-
-
-class Port(typing.Protocol):
-    """Operations that the slots need from their process."""
-
-    def send(self, coordinator: CoordinatorRef, item: frames.AnyItem) -> bool:
-        """Send to a coordinator; return `False` if its link is down."""
-
-    def expected_time(self, item: messages.Start) -> float:
-        """Return the expected run time of a task here in seconds."""
-
-    def run(self, task: WorkerTask) -> None:
-        """Start a task at the endpoint."""
-
-    def stop(self, task: WorkerTask) -> None:
-        """Stop a task that runs at the endpoint."""
-
-
-@dataclasses.dataclass(frozen=True)
-class WorkerLimits:
-    """Limits of the tables of a worker.
-
-    `max_queue` is for the granted tasks and for the queue, `max_records` for
-    the entries of the history, `max_answer_bytes` for all the outputs in it
-    together, counted in characters.
-    """
-
-    max_queue: int
-    max_records: int
-    max_answer_bytes: int
-
-
 class Slots:
     """Start granted tasks in free slots; claim reserved ones for the rest."""
 
-    def __init__(self, port: Port, limits: WorkerLimits) -> None:
+    def __init__(
+        self, port: worker_tasks.Port, limits: worker_tasks.WorkerLimits
+    ) -> None:
         """Create the table without slots and tasks."""
         self.port = port
         self.limits = limits
@@ -118,8 +29,8 @@
             limits.max_records, limits.max_answer_bytes
         )
         self.queue = backlog.Backlog()
-        self.tasks: dict[ids.TaskId, WorkerTask] = {}
-        self.claims: dict[int, OpenClaim] = {}
+        self.tasks: dict[ids.TaskId, worker_tasks.WorkerTask] = {}
+        self.claims: dict[int, worker_tasks.OpenClaim] = {}
         self.claim_numbers = itertools.count(1)
         self.slot_count = 0
         self.unconfirmed_stops: set[ids.TaskId] = set()
@@ -130,7 +41,8 @@
     def running_count(self) -> int:
         """Return the number of tasks at the endpoint."""
         return sum(
-            task.phase is not Phase.queued for task in self.tasks.values()
+            task.phase is not worker_tasks.Phase.queued
+            for task in self.tasks.values()
         )
 
     @property
@@ -163,7 +75,10 @@
         self.only_coordinator = own
         self.queue.clear_reservations()
         for task in list(self.tasks.values()):
-            if task.phase is Phase.queued and task.coordinator.member != own:
+            if (
+                task.phase is worker_tasks.Phase.queued
+                and task.coordinator.member != own
+            ):
                 self.refuse(task, errors.Code.stopping, now)
 
     def accepts_from(self, coordinator: ids.MemberId) -> bool:
@@ -181,7 +96,7 @@
             return
         self.queue.clear_reservations()
         for task in list(self.tasks.values()):
-            if task.phase is Phase.queued:
+            if task.phase is worker_tasks.Phase.queued:
                 self.refuse(task, errors.Code.unavailable, now)
 
     def accept_grant(
@@ -194,7 +109,7 @@
         """
         claim = self.claims.pop(item.claim_number, None)
         granted_at = claim.sent_at if claim else now - age
-        task = WorkerTask(
+        task = worker_tasks.WorkerTask(
             start=item,
             lease_expires_at=granted_at + item.lease_ms / 1000,
             deadline=now - age + item.deadline_ms / 1000,
@@ -218,7 +133,7 @@
             self.enqueue(task, now)
             self.fill_slots(now)
 
-    def enqueue(self, task: WorkerTask, now: float) -> None:
+    def enqueue(self, task: worker_tasks.WorkerTask, now: float) -> None:
         """Queue a granted task until a slot is free."""
         start_by = min(task.lease_expires_at, task.deadline)
         if task.start.queue_timeout_ms:
@@ -230,12 +145,12 @@
             now,
         )
 
-    def refund_claim(self, claim: OpenClaim | None) -> None:
+    def refund_claim(self, claim: worker_tasks.OpenClaim | None) -> None:
         """Refund the charge of a claim that starts no task to its tenant."""
         if claim is not None:
             self.queue.fair_queue.charge(claim.tenant, 0, claim.expected_s)
 
-    def answer_if_known(self, task: WorkerTask) -> bool:
+    def answer_if_known(self, task: worker_tasks.WorkerTask) -> bool:
         """Return whether a grant must not start its task here.
 
         This holds if the task is queued or running, has finished or was
@@ -264,7 +179,10 @@
         return True
 
     def reserve(
-        self, item: messages.Reserve, coordinator: CoordinatorRef, now: float
+        self,
+        item: messages.Reserve,
+        coordinator: worker_tasks.CoordinatorRef,
+        now: float,
     ) -> None:
         """Queue a reservation, to be claimed when it is next in the queue."""
         if not self.accepts_from(coordinator.member):
@@ -275,7 +193,10 @@
         self.fill_slots(now)
 
     def no_task(
-        self, item: messages.NoTask, coordinator: CoordinatorRef, now: float
+        self,
+        item: messages.NoTask,
+        coordinator: worker_tasks.CoordinatorRef,
+        now: float,
     ) -> None:
         """Free the slot of a claim for which no task is granted.
 
@@ -300,7 +221,7 @@
                 )
 
     def start_task(
-        self, task: WorkerTask, expected_s: float, now: float
+        self, task: worker_tasks.WorkerTask, expected_s: float, now: float
     ) -> None:
         """Start a task unless its lease or deadline has passed."""
         task.expected_s = expected_s
@@ -309,7 +230,7 @@
             self.queue.fair_queue.charge(task.start.tenant, 0, expected_s)
             self.refuse(task, reason, now)
             return
-        task.phase = Phase.running
+        task.phase = worker_tasks.Phase.running
         self.port.run(task)
 
     def send_claim(
@@ -320,7 +241,7 @@
     ) -> None:
         """Send a claim for one task of a reserved job."""
         number = next(self.claim_numbers)
-        claim = OpenClaim(
+        claim = worker_tasks.OpenClaim(
             reservation.coordinator,
             queue_item.tenant,
             queue_item.expected_s,
@@ -332,7 +253,9 @@
         else:
             self.refund_claim(claim)
 
-    def refuse(self, task: WorkerTask, reason: errors.Code, now: float) -> None:
+    def refuse(
+        self, task: worker_tasks.WorkerTask, reason: errors.Code, now: float
+    ) -> None:
         """Refuse a task that has not started and never will on this grant.
 
         It may be granted to this worker again, with a higher grant number.
@@ -348,7 +271,7 @@
         )
 
     def start_failed(
-        self, task: WorkerTask, reason: errors.Code, now: float
+        self, task: worker_tasks.WorkerTask, reason: errors.Code, now: float
     ) -> None:
         """Return a task whose start did not reach the endpoint."""
         self.queue.fair_queue.charge(task.start.tenant, 0, task.expected_s)
@@ -356,7 +279,7 @@
 
     def task_ended(
         self,
-        task: WorkerTask,
+        task: worker_tasks.WorkerTask,
         outcome: messages.TaskOutcome,
         now: float,
     ) -> None:
@@ -402,7 +325,7 @@
         self.fill_slots(now)
 
     def coordinator_reconnected(
-        self, coordinator: CoordinatorRef, now: float
+        self, coordinator: worker_tasks.CoordinatorRef, now: float
     ) -> None:
         """Refuse queued tasks of a coordinator's earlier incarnations.
 
@@ -414,7 +337,7 @@
                 or task.coordinator == coordinator
             ):
                 continue
-            if task.phase is Phase.queued:
+            if task.phase is worker_tasks.Phase.queued:
                 self.refuse(task, errors.Code.link_lost, now)
         self.coordinator_lost(coordinator.member, now)
 
--- a/src/poplardrum/daemons/task_requests.py
+++ b/src/poplardrum/daemons/task_requests.py
@@ -6,7 +6,7 @@
 import typing
 
 from poplardrum import errors, ids
-from poplardrum.daemons import slots
+from poplardrum.daemons import slots, worker_tasks
 from poplardrum.peers import messages
 
 
@@ -19,7 +19,7 @@
     infinity, so that an unknown task always counts as possibly run.
     """
 
-    coordinator: slots.CoordinatorRef
+    coordinator: worker_tasks.CoordinatorRef
     task: ids.TaskId
     grant_number: int
     granted_at: float
@@ -36,7 +36,9 @@
     task = worker_slots.tasks.get(request.task)
     if task is None:
         answer_not_held(worker_slots, request, errors.Code.cancelled, now)
-    elif task.phase is slots.Phase.queued and _is_covered_grant(task, request):
+    elif task.phase is worker_tasks.Phase.queued and _is_covered_grant(
+        task, request
+    ):
         worker_slots.refuse(task, errors.Code.cancelled, now)
 
 
@@ -47,10 +49,10 @@
     a refusal if it has not been sent to the endpoint yet.
     """
     task = worker_slots.tasks.get(request.task)
-    if task is None or task.phase is slots.Phase.queued:
+    if task is None or task.phase is worker_tasks.Phase.queued:
         withdraw(worker_slots, request, now)
-    elif task.phase is slots.Phase.running:
-        task.phase = slots.Phase.stopping
+    elif task.phase is worker_tasks.Phase.running:
+        task.phase = worker_tasks.Phase.stopping
         worker_slots.port.stop(task)
 
 
@@ -104,6 +106,8 @@
     )
 
 
-def _is_covered_grant(task: slots.WorkerTask, request: TaskRequest) -> bool:
+def _is_covered_grant(
+    task: worker_tasks.WorkerTask, request: TaskRequest
+) -> bool:
     # A later grant of the task is not affected by an earlier request.
     return task.start.grant_number <= request.grant_number
--- a/src/poplardrum/daemons/worker.py
+++ b/src/poplardrum/daemons/worker.py
@@ -6,7 +6,7 @@
 import typing
 
 from poplardrum import errors, ids
-from poplardrum.daemons import slots, task_requests
+from poplardrum.daemons import slots, task_requests, worker_tasks
 from poplardrum.endpoints import announcements, runner
 from poplardrum.peers import frames, handlers, links, messages
 
@@ -40,7 +40,9 @@
         )
         self.slots = slots.Slots(
             self,
-            slots.WorkerLimits(limits.queue, limits.records, limits.answers),
+            worker_tasks.WorkerLimits(
+                limits.queue, limits.records, limits.answers
+            ),
         )
         self.timeouts: dict[ids.TaskId, asyncio.Timeout] = {}
         self.config_number = ids.ConfigNumber(0)
@@ -72,16 +74,16 @@
             self.slots.enforce_timeouts(time.monotonic())
             await asyncio.sleep(_POLL_INTERVAL_S)
 
-    def run(self, task: slots.WorkerTask) -> None:
+    def run(self, task: worker_tasks.WorkerTask) -> None:
         """Run a task in the background."""
         self.process.spawn(self.run_task(task), f'run {task.task_id}')
 
-    async def run_task(self, task: slots.WorkerTask) -> None:
+    async def run_task(self, task: worker_tasks.WorkerTask) -> None:
         """Run one task and report its outcome."""
         now = time.monotonic()
         announcement = self.endpoint.announcement
         reason = task.lapse_reason(now)
-        if task.phase is slots.Phase.stopping:
+        if task.phase is worker_tasks.Phase.stopping:
             reason = errors.Code.cancelled
         if announcement is None or reason is not None:
             self.return_unstarted(task, reason or errors.Code.unavailable)
@@ -114,7 +116,7 @@
     async def stop_unanswered(
         self,
         address: str,
-        task: slots.WorkerTask,
+        task: worker_tasks.WorkerTask,
         outcome: messages.TaskOutcome,
     ) -> messages.TaskOutcome:
         """Stop a task that has not answered in time.
@@ -127,7 +129,7 @@
                 self.release_slot(address, task.task_id),
                 f'release {task.task_id}',
             )
-        if task.phase is slots.Phase.stopping:
+        if task.phase is worker_tasks.Phase.stopping:
             return runner.with_code(outcome, errors.Code.cancelled)
         return outcome
 
@@ -139,7 +141,7 @@
         self.slots.fill_slots(time.monotonic())
 
     def return_unstarted(
-        self, task: slots.WorkerTask, reason: errors.Code
+        self, task: worker_tasks.WorkerTask, reason: errors.Code
     ) -> None:
         """Return a task that did not reach the endpoint."""
         self.slots.start_failed(task, reason, time.monotonic())
@@ -163,7 +165,7 @@
                 {name: rule.share for name, rule in tenants.items()},
             )
 
-    def stop(self, task: slots.WorkerTask) -> None:
+    def stop(self, task: worker_tasks.WorkerTask) -> None:
         """Stop a task that runs at the endpoint, with a timeout."""
         announcement = self.endpoint.announcement
         timeout = self.timeouts.get(task.task_id)
@@ -176,7 +178,9 @@
             f'stop {task.task_id}',
         )
 
-    async def send_stop(self, address: str, task: slots.WorkerTask) -> None:
+    async def send_stop(
+        self, address: str, task: worker_tasks.WorkerTask
+    ) -> None:
         """Send stop requests until the run of the task has ended.
 
         The first one may overtake the request that starts the task.
@@ -186,7 +190,7 @@
             await asyncio.sleep(_STOP_RETRY_INTERVAL_S)
 
     def send(
-        self, coordinator: slots.CoordinatorRef, item: frames.AnyItem
+        self, coordinator: worker_tasks.CoordinatorRef, item: frames.AnyItem
     ) -> bool:
         """Send to a coordinator on the link that it opened."""
         link = self.process.coordinator_link(coordinator.member)
@@ -224,9 +228,9 @@
         self.slots.fill_slots(now)
 
 
-def coordinator_of(link: links.Link) -> slots.CoordinatorRef:
+def coordinator_of(link: links.Link) -> worker_tasks.CoordinatorRef:
     """Return the coordinator at the other end of a link."""
-    return slots.CoordinatorRef(link.member.id, link.member.incarnation)
+    return worker_tasks.CoordinatorRef(link.member.id, link.member.incarnation)
 
 
 @handlers.receive.register(messages.Start)
--- a/src/poplardrum/standins/fleet.py
+++ b/src/poplardrum/standins/fleet.py
@@ -9,17 +9,13 @@
 import hashlib
 import os
 import pathlib
-import signal
-import subprocess
-import sys
 import time
 import typing
 
-from poplardrum.standins import http, ports
+from poplardrum.standins import http, ports, processes
 
 OPERATOR_TOKEN: typing.Final = 'fleet-operator'
 _READY_TIMEOUT_S: typing.Final = 60.0
-_STOP_TIMEOUT_S: typing.Final = 60.0
 _POLL_INTERVAL_S: typing.Final = 0.05
 
 
@@ -45,65 +41,6 @@
     )
 
 
-@dataclasses.dataclass
-class Process:
-    """One process of the fleet, with its arguments and log file."""
-
-    name: str
-    arguments: list[str]
-    log: pathlib.Path
-    popen: subprocess.Popen[bytes] | None = None
-
-    def start(self) -> None:
-        """Start or restart the process; append its output to its log file."""
-        with self.log.open('ab') as output:
-            self.popen = subprocess.Popen(
-                [sys.executable, '-m', 'poplardrum', *self.arguments],
-                stdout=output,
-                stderr=output,
-            )
-
-    @property
-    def handle(self) -> subprocess.Popen[bytes]:
-        """Return the `Popen` object; raise unless the process was started."""
-        if self.popen is None:
-            raise RuntimeError(f'{self.name} was not started')
-        return self.popen
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Send a signal to the process."""
-        self.handle.send_signal(number)
-
-    def stop(self) -> int:
-        """Resume and stop the process gracefully; return the exit code."""
-        if self.handle.poll() is None:
-            self.send_signal(signal.SIGCONT)
-            self.send_signal(signal.SIGTERM)
-        return self.wait()
-
-    def pause(self) -> None:
-        """Suspend the process until `resume`."""
-        self.send_signal(signal.SIGSTOP)
-
-    def resume(self) -> None:
-        """Continue a paused process."""
-        self.send_signal(signal.SIGCONT)
-
-    def kill(self) -> None:
-        """Send SIGKILL and wait until the process has ended."""
-        self.send_signal(signal.SIGKILL)
-        self.wait()
-
-    def wait(self) -> int:
-        """Wait for the exit code; kill the process after the stop timeout."""
-        try:
-            return self.handle.wait(_STOP_TIMEOUT_S)
-        except subprocess.TimeoutExpired:
-            self.handle.kill()
-            self.handle.wait()
-            return -signal.SIGKILL
-
-
 class Fleet:
     """Entries, agents, endpoints and a platform as local processes."""
 
@@ -127,8 +64,8 @@
             self.plan_entry(index, port_numbers)
             for index in range(plan.entries)
         ]
-        self.agents: list[Process] = []
-        self.endpoints: list[Process] = []
+        self.agents: list[processes.Process] = []
+        self.endpoints: list[processes.Process] = []
         for index, worker in enumerate(plan.workers):
             self.plan_worker(index, worker, port_numbers)
 
@@ -136,7 +73,7 @@
         self,
         index: int,
         port_numbers: typing.Iterator[int],
-    ) -> Process:
+    ) -> processes.Process:
         """Write the settings of an entry and return its process."""
         peers, http_address = (
             _address(next(port_numbers)),
@@ -176,7 +113,7 @@
         zone: str,
         peers: str,
         http_address: str,
-    ) -> Process:
+    ) -> processes.Process:
         """Write the settings of an entry or agent and return its process."""
         name = f'{role}-{index}'
         sections = {
@@ -199,11 +136,15 @@
         )
         return self.plan_process(name, [role, '--settings', str(path)])
 
-    def plan_process(self, name: str, arguments: list[str]) -> Process:
+    def plan_process(
+        self, name: str, arguments: list[str]
+    ) -> processes.Process:
         """Return a process that is not started yet."""
-        return Process(name, arguments, self.directory / f'{name}.log')
+        return processes.Process(
+            name, arguments, self.directory / f'{name}.log'
+        )
 
-    def all_processes(self) -> list[Process]:
+    def all_processes(self) -> list[processes.Process]:
         """Return all processes in the order in which they are stopped."""
         return [*self.entries, *self.agents, *self.endpoints, self.platform]
 
--- a/tests/execution_model.py
+++ b/tests/execution_model.py
@@ -5,7 +5,13 @@
 import typing
 
 from poplardrum import errors, ids
-from poplardrum.daemons import grants, reservations, slots, task_requests
+from poplardrum.daemons import (
+    grants,
+    reservations,
+    slots,
+    task_requests,
+    worker_tasks,
+)
 from poplardrum.daemons import job as jobs
 from poplardrum.peers import frames, messages
 
@@ -114,12 +120,14 @@
         self.name = ids.MemberId(name)
         self.incarnation = ids.Incarnation(f'{name}-{number}')
         self.paused = False
-        self.at_endpoint: dict[ids.TaskId, slots.WorkerTask] = {}
-        self.slots = slots.Slots(self, slots.WorkerLimits(50, 100, 10_000))
+        self.at_endpoint: dict[ids.TaskId, worker_tasks.WorkerTask] = {}
+        self.slots = slots.Slots(
+            self, worker_tasks.WorkerLimits(50, 100, 10_000)
+        )
         self.slots.set_slots(SLOTS, world.now)
 
     def send(
-        self, coordinator_ref: slots.CoordinatorRef, item: frames.AnyItem
+        self, coordinator_ref: worker_tasks.CoordinatorRef, item: frames.AnyItem
     ) -> bool:
         """Queue an item on the link if it is up at this end."""
         link = self.world.link(coordinator_ref.member, self.name)
@@ -138,14 +146,14 @@
         """Return the declared time."""
         return item.spec.declared_ms / 1000
 
-    def run(self, worker_task: slots.WorkerTask) -> None:
+    def run(self, worker_task: worker_tasks.WorkerTask) -> None:
         """Count a start and check that it was allowed."""
         self.world.started(worker_task)
         self.at_endpoint[worker_task.task_id] = worker_task
         if len(self.at_endpoint) > SLOTS:
             raise AssertionError('more tasks than slots')
 
-    def stop(self, worker_task: slots.WorkerTask) -> None:
+    def stop(self, worker_task: worker_tasks.WorkerTask) -> None:
         """End the task at once, as the endpoint does."""
         self.finish(worker_task.task_id, errors.Code.cancelled)
 
@@ -156,7 +164,9 @@
         self.slots.task_ended(worker_task, outcome, self.world.now)
 
     def receive(
-        self, coordinator_ref: slots.CoordinatorRef, in_flight: InFlightItem
+        self,
+        coordinator_ref: worker_tasks.CoordinatorRef,
+        in_flight: InFlightItem,
     ) -> None:
         """Handle an item from a coordinator as the process does."""
         now = self.world.now
@@ -173,7 +183,7 @@
 
     def recall(
         self,
-        coordinator_ref: slots.CoordinatorRef,
+        coordinator_ref: worker_tasks.CoordinatorRef,
         item: typing.Any,
         age: float,
     ) -> None:
@@ -229,7 +239,7 @@
         """Return the link between two processes."""
         return self.links.setdefault((coordinator, worker), ModelLink())
 
-    def started(self, worker_task: slots.WorkerTask) -> None:
+    def started(self, worker_task: worker_tasks.WorkerTask) -> None:
         """Count a start; check it against the lease and the job's answer."""
         task = worker_task.task_id
         self.starts[task] += 1
@@ -272,7 +282,7 @@
         link.coordinator_epoch = link.worker_epoch = next(self.numbers)
         coordinator_model = self.coordinators[coordinator]
         worker_model = self.workers[worker]
-        coordinator_ref = slots.CoordinatorRef(
+        coordinator_ref = worker_tasks.CoordinatorRef(
             coordinator, coordinator_model.incarnation
         )
         worker_model.slots.coordinator_reconnected(coordinator_ref, self.now)
@@ -304,7 +314,7 @@
         if in_flight.epoch == link.worker_epoch:
             incarnation = self.coordinators[coordinator].incarnation
             worker_model.receive(
-                slots.CoordinatorRef(coordinator, incarnation), in_flight
+                worker_tasks.CoordinatorRef(coordinator, incarnation), in_flight
             )
 
     def deliver_to_coordinator(
--- a/tests/test_execution_faults.py
+++ b/tests/test_execution_faults.py
@@ -13,7 +13,7 @@
 from poplardrum import ids
 from poplardrum.coordination import views
 from poplardrum.peers import messages
-from poplardrum.standins import fleet, http
+from poplardrum.standins import fleet, http, processes
 
 CREDENTIAL: typing.Final = 'lakeshore-secret'
 TENANT: typing.Final = ids.TenantName('lakeshore')
@@ -72,7 +72,7 @@
         cls.system.start({'10.ini': fleet.tenant_rule(TENANT, CREDENTIAL)})
 
     @classmethod
-    def kill(cls, process: fleet.Process) -> None:
+    def kill(cls, process: processes.Process) -> None:
         """Kill a process if it was started."""
         if process.popen is not None:
             process.kill()
--- a/tests/test_execution_grants.py
+++ b/tests/test_execution_grants.py
@@ -3,7 +3,7 @@
 import unittest
 
 from poplardrum import errors, ids
-from poplardrum.daemons import grants, history, slots
+from poplardrum.daemons import grants, history, worker_tasks
 from poplardrum.peers import messages
 from tests import execution_model
 
@@ -47,7 +47,7 @@
         self.deliver()
         self.assertEqual(len(self.job.waiting), 4)
         self.worker.receive(
-            slots.CoordinatorRef(C0, self.coordinator.incarnation),
+            worker_tasks.CoordinatorRef(C0, self.coordinator.incarnation),
             late_grant,
         )
         self.assertEqual(self.world.starts.total(), 0)
@@ -60,7 +60,7 @@
         self.grant(1)
         link = self.world.link(C0, W0)
         grant = link.to_worker[0]
-        owner = slots.CoordinatorRef(C0, self.coordinator.incarnation)
+        owner = worker_tasks.CoordinatorRef(C0, self.coordinator.incarnation)
         self.worker.receive(owner, grant)
         self.worker.receive(owner, grant)
         self.worker.finish(grant.item.task, errors.Code.ok)
