--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -14,10 +14,6 @@
 
     Whatever may let a task start calls `schedule`; the pass then runs once in
     the next iteration of the event loop.
-
-    A job is of use when its last task ends. So while one job has room for only
-    some of its tasks, the jobs behind it start as a whole or not at all;
-    otherwise a queue of half placed jobs would hold the room that each needs.
     """
 
     def __init__(self, index: room_index.RoomIndex, far_factor: float) -> None:
@@ -66,26 +62,18 @@
         now = asyncio.get_running_loop().time()
         min_slowness = self.index.min_slowness()
         allowed.sort(key=lambda job: job.placement_priority(now, min_slowness))
-        # Services at which a job waits for room for the rest of its tasks.
-        split_services: set[str] = set()
         for job in allowed:
-            may_split = job.started or job.service not in split_services
             # A job that waits for a fast endpoint does not block the others.
-            if self._place_job(job, may_split):
+            if self._place_job(job):
                 self.pending_jobs.pop(job.id)
-            elif job.started:
-                split_services.add(job.service)
-
-    def _place_job(self, job: jobs.Job, may_split: bool) -> bool:
-        """Place the tasks that fit; return whether all tasks are placed.
 
-        A step is started in part only if it `may_split`.
-        """
+    def _place_job(self, job: jobs.Job) -> bool:
+        """Place the tasks that fit; return whether all tasks are placed."""
         waiting = job.ready_tasks()
         all_placed = True
         for step in job.steps:
             tasks = [task for task in waiting if task.step is step]
-            if tasks and not self._place_step(job, step, tasks, may_split):
+            if tasks and not self._place_step(job, step, tasks):
                 all_placed = False
         return all_placed
 
@@ -94,13 +82,10 @@
         job: jobs.Job,
         step: jobs.Step,
         tasks: list[jobs.Task],
-        may_split: bool,
     ) -> bool:
         now = asyncio.get_running_loop().time()
         request = placement.request_for(job, step, tasks, self.far_factor, now)
         placements = placement.choose_agents(self.index, request)
-        if not may_split and sum(count for _, count in placements) < len(tasks):
-            return False
         for agent, count in placements:
             self._start_tasks(job, agent, tasks[:count])
             tasks = tasks[count:]
