Log labels and capacity of an endpoint, and the return time of a refusal

Looked for with it: whether labels or the host tell the speed of an endpoint after a restart, so that a learned slowness could be kept in the store over a loss of power.

--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -174,6 +174,8 @@
                 'endpoint state changed',
                 state=heartbeat.state,
                 born=heartbeat.born,
+                labels=heartbeat.labels,
+                cpu=heartbeat.capacity.cpu_millicores,
             )
         self.lease.observe_clock(heartbeat.clock_ms, clocks.now())
         self.request_report()
--- a/src/poplardrum/dispatch/responses.py
+++ b/src/poplardrum/dispatch/responses.py
@@ -55,6 +55,7 @@
         verdict=error.verdict.value,
         why=error.message,
         after_ms=_to_ms(waited),
+        retry_after_s=error.retry_after,
         host=request.headers.get('Host', ''),
         path=request.path,
     )
