Share learned durations between entries, and keep them over restarts

Cause: predictions of durations are learned by each entry alone. With 35 entries each sees 0.8 jobs a second of the rarest, most valuable kind, so it has no predictions for half a minute; after a loss of power nobody has any, in the seconds that the worst windows are made of. Jobs without one take any endpoint, also a slow one, and wait or are refused by the declared estimate, which is off.

Change: what a predictor learns is a set of sums, so those of several entries add up. prediction_sharing publishes an entry's sums in the store each 5 s under a lease of 60 s and adds those of the others; an entry that starts continues with its own. Values of other writers are bounded and skipped if malformed. The table of predictors moves from the request handler to estimates.

Tests: test_prediction_sharing.

--- a/src/poplardrum/decoding.py
+++ b/src/poplardrum/decoding.py
@@ -11,12 +11,15 @@
 _Document = typing.TypeVar('_Document')
 
 _MAX_INT32: typing.Final = 2**31 - 1
+_MAX_WEIGHT: typing.Final = 1e15
 _MAX_INT64: typing.Final = 2**63 - 1
 
 # A count or an amount. Sums of many of them still fit into a message.
 Amount = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT32)]
 # A number that only increases, or a time in milliseconds.
 Sequence = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_INT64)]
+# A weight or a weighted sum; sums of many of them stay finite.
+Weight = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_WEIGHT)]
 # A duration in milliseconds.
 DurationMs = typing.Annotated[float, msgspec.Meta(ge=0, le=_MAX_INT32)]
 
--- a/src/poplardrum/dispatch/agent_process.py
+++ b/src/poplardrum/dispatch/agent_process.py
@@ -16,7 +16,6 @@
     executor,
     lifecycle,
     membership,
-    metrics,
     polling,
     reloading,
     status_persistence,
@@ -138,12 +137,8 @@
             config.registry,
             settings.listeners,
         )
-        metrics_address = (config.peers[0], metrics.PORT)
-        await lifecycle.serve_http(
-            stack,
-            task_executor.metrics.serve,
-            metrics_address,
-            settings.listeners,
+        await lifecycle.serve_metrics(
+            stack, task_executor.metrics, config.peers[0], settings.listeners
         )
         background_loops: list[tuple[str, lifecycle.BackgroundLoop]] = [
             ('endpoint reports', polling.EndpointPoller(task_executor).run),
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -14,7 +14,7 @@
     lifecycle,
     links,
     membership,
-    metrics,
+    prediction_sharing,
     record_writer,
     reloading,
     request_handler,
@@ -136,6 +136,12 @@
                 functools.partial(settings.watch, lifecycle.reload_event()),
             ),
             ('keep-alive', agent_links.keep_alive.run),
+            (
+                'learned durations',
+                prediction_sharing.PredictionSharing(
+                    kv_store, config.node, handler.predictors
+                ).run,
+            ),
             (
                 'service coverage',
                 functools.partial(
@@ -148,11 +154,8 @@
         await lifecycle.serve_http(
             stack, handler.handle_readiness, config.readiness, listening
         )
-        await lifecycle.serve_http(
-            stack,
-            handler.metrics.serve,
-            (config.peers[0], metrics.PORT),
-            listening,
+        await lifecycle.serve_metrics(
+            stack, handler.metrics, config.peers[0], listening
         )
         await lifecycle.serve_http(
             stack, handler.handle_request, config.callers, listening
--- a/src/poplardrum/dispatch/lifecycle.py
+++ b/src/poplardrum/dispatch/lifecycle.py
@@ -10,7 +10,7 @@
 from aiohttp import web_request, web_response, web_server
 
 from poplardrum import ini
-from poplardrum.dispatch import clocks
+from poplardrum.dispatch import clocks, metrics
 from poplardrum.platform import listeners
 
 logger = logging.getLogger(__name__)
@@ -152,6 +152,16 @@
     stack.push_async_callback(_stop_serving, server, accepting)
 
 
+async def serve_metrics(
+    stack: contextlib.AsyncExitStack,
+    served: metrics.Metrics,
+    host: str,
+    listening: listeners.Listeners,
+) -> None:
+    """Serve the metrics of a process on a host until the stack closes."""
+    await serve_http(stack, served.serve, (host, metrics.PORT), listening)
+
+
 async def _stop_serving(
     server: web_server.Server, accepting: asyncio.AbstractServer
 ) -> None:
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -33,7 +33,6 @@
 # fleet counts as recovering.
 _STARTUP_PERIOD_S: typing.Final = 2.5
 _FIRST_CONFIGURATION_TIMEOUT_S: typing.Final = 0.5
-_MAX_PREDICTORS: typing.Final = 256
 
 
 class RequestHandler:
@@ -56,7 +55,7 @@
         self.peak_usable = 0
         self.metrics = metrics.Metrics()
         self.metrics.gauges = self._read_gauges
-        self.predictors: dict[str, estimates.DurationPredictor] = {}
+        self.predictors = estimates.PredictorTable()
         self.stop_at = math.inf
         self.stopping = False
 
@@ -128,7 +127,7 @@
             and is_single_step
             and job.ran_once()
         ):
-            self._predictor(job.queue).learn(
+            self.predictors.get(job.queue).learn(
                 job.estimate,
                 job.client_timeout,
                 [task.normalized_duration for task in job.tasks],
@@ -255,7 +254,7 @@
         client_timeout = job_api.read_client_timeout(
             request.headers, _DEFAULT_CLIENT_TIMEOUT_S
         )
-        predictor = self._predictor(route.name)
+        predictor = self.predictors.get(route.name)
         predicted_duration = predictor.predict(estimate, client_timeout)
         nominal_duration = predicted_duration * predictor.scale()
         target_latency = (
@@ -294,15 +293,6 @@
                 retry_after=1,
             )
 
-    def _predictor(self, queue: str) -> estimates.DurationPredictor:
-        predictor = self.predictors.get(queue)
-        if predictor is None:
-            if len(self.predictors) >= _MAX_PREDICTORS:
-                self.predictors.clear()
-            predictor = estimates.DurationPredictor()
-            self.predictors[queue] = predictor
-        return predictor
-
     def _longest_wait(
         self,
         target_latency: float,
