--- a/src/poplardrum/dispatch/commands.py
+++ b/src/poplardrum/dispatch/commands.py
@@ -18,7 +18,7 @@
 logger = logging.getLogger(__name__)
 
 _START_REQUEST_TIMEOUT_S: typing.Final = 0.2
-STOP_REQUEST_TIMEOUT_S: typing.Final = 0.1
+_STOP_REQUEST_TIMEOUT_S: typing.Final = 0.1
 _MAX_START_ATTEMPTS: typing.Final = 3
 # Reports requested this long after the stop time list a stopped run as
 # completed. Also the pause between two attempts to stop a run.
@@ -104,7 +104,7 @@
                 run.task_name(),
                 run.id.number,
                 fencing_token=self.lease.fencing_token,
-                timeout_s=STOP_REQUEST_TIMEOUT_S,
+                timeout_s=_STOP_REQUEST_TIMEOUT_S,
             )
             now = clocks.now()
             if not self.is_tracked(run):
@@ -122,6 +122,29 @@
                 self._suspend_lease(run)
             await asyncio.sleep(_LISTING_MARGIN_S)
 
+    async def stop_unknown(
+        self,
+        endpoint: endpoints.EndpointClient,
+        listed_run: endpoints.ActiveRun,
+    ) -> None:
+        """Request once the stop of a run that an earlier process started.
+
+        The next report that still lists it leads to another request.
+        """
+        log_events.emit(
+            logger,
+            'stopping a run of an earlier process',
+            level=logging.WARNING,
+            task=listed_run.task,
+            run=listed_run.run,
+        )
+        await endpoint.stop(
+            listed_run.task,
+            listed_run.run,
+            fencing_token=self.lease.fencing_token,
+            timeout_s=_STOP_REQUEST_TIMEOUT_S,
+        )
+
     def discard_backlog(
         self, tracker: completions.CompletionTracker, now: float
     ) -> bool:
--- a/src/poplardrum/dispatch/completions.py
+++ b/src/poplardrum/dispatch/completions.py
@@ -6,6 +6,11 @@
 from poplardrum.dispatch import endpoint_runs, entry_sessions, messages
 from poplardrum.platform import endpoints
 
+# The endpoint retains completions of stored jobs with these outcomes until
+# they are recorded in the store.
+RETAINED_OUTCOMES: typing.Final = frozenset(
+    (messages.Outcome.done, messages.Outcome.failed),
+)
 # Time without an acknowledgement after which a completion is sent again.
 _RESEND_AFTER_S: typing.Final = 0.5
 _MAX_RESENT_AT_ONCE: typing.Final = 100
--- a/src/poplardrum/dispatch/endpoint_runs.py
+++ b/src/poplardrum/dispatch/endpoint_runs.py
@@ -88,6 +88,19 @@
     return ids.JobId(parts[0]), int(parts[2]), int(parts[3])
 
 
+def unknown_runs(
+    listed_runs: typing.Iterable[endpoints.ActiveRun],
+    runs_by_name: typing.Mapping[str, Run],
+) -> list[endpoints.ActiveRun]:
+    """Return the listed runs that are not those which the agent tracks."""
+    return [
+        listed_run
+        for listed_run in listed_runs
+        if listed_run.task not in runs_by_name
+        or runs_by_name[listed_run.task].id.number != listed_run.run
+    ]
+
+
 OUTCOME_BY_RUN_OUTCOME: typing.Final = {
     endpoints.RunOutcome.done: messages.Outcome.done,
     endpoints.RunOutcome.failed: messages.Outcome.failed,
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -21,12 +21,6 @@
 
 logger = logging.getLogger(__name__)
 
-# The endpoint retains completions of stored jobs with these outcomes until
-# they are recorded in the store.
-_RETAINED_OUTCOMES: typing.Final = frozenset(
-    (messages.Outcome.done, messages.Outcome.failed),
-)
-
 
 class Executor:
     """Run tasks at one endpoint, within its capacity and under its lease.
@@ -293,31 +287,12 @@
         report: endpoints.Report,
         by_name: dict[str, endpoint_runs.Run],
     ) -> None:
-        unknown = [
-            listed_run
-            for listed_run in report.active_runs
-            if listed_run.task not in by_name
-            or by_name[listed_run.task].id.number != listed_run.run
-        ]
+        unknown = endpoint_runs.unknown_runs(report.active_runs, by_name)
         if self.is_reconciled != (not unknown):
             self.is_reconciled = not unknown
             self.status_changed.set()
         for listed_run in unknown:
-            log_events.emit(
-                logger,
-                'stopping a run of an earlier process',
-                level=logging.WARNING,
-                task=listed_run.task,
-                run=listed_run.run,
-            )
-            self._spawn(
-                self.endpoint.stop(
-                    listed_run.task,
-                    listed_run.run,
-                    fencing_token=self.lease.fencing_token,
-                    timeout_s=commands.STOP_REQUEST_TIMEOUT_S,
-                ),
-            )
+            self._spawn(self.commands.stop_unknown(self.endpoint, listed_run))
 
     def _resume_lease(self, now: float) -> None:
         """Resume a suspended lease once the cause of its suspension is gone."""
@@ -352,7 +327,9 @@
         completion_id = None
         # An unknown run may be of a stored job: an earlier process of this
         # agent started it, or an entry that is gone.
-        if outcome in _RETAINED_OUTCOMES and (run is None or run.stored):
+        if outcome in completions.RETAINED_OUTCOMES and (
+            run is None or run.stored
+        ):
             completion_id = self.completions.retain(run, completion, now)
             if run is None and completion_id is not None:
                 # Sent before this agent accepts tasks, so that no entry
