Let the tasks of a test run until its fleet has healed

Its tasks of 5 s may end while a killed agent comes back. Trace: with 5 s more in heal() it fails each time; with tasks of 30 s, which the test cancels, it passes. What it checks is unchanged.

--- a/tests/test_submission_paths.py
+++ b/tests/test_submission_paths.py
@@ -34,7 +34,8 @@
         """Guards against fetching or cancelling at the wrong agent."""
         key = self.key_owned_by(2, 'lower')
         self.fleet.agents[2].stop()
-        job = self.start_job(key, 5)
+        # Long enough to run still when the fleet has healed; it is cancelled.
+        job = self.start_job(key, 30)
         self.heal()
         self.assertEqual(self.fleet.member_status('agent-2')['state'], 'ready')
         self.assertEqual(self.call_job('GET', key)[1]['state'], 'running')
