--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 export UV_USE_IO_URING := 0
 
-.PHONY: all venv test unit lint format demo bench binary soak simulate fuzz score hunt clean
+.PHONY: all venv test unit lint format demo bench binary soak simulate fuzz score hunt regression clean
 
 all: test
 
@@ -66,5 +66,14 @@
 hunt:
 	$(BENCH) hunt $(SITE) --days $(DAYS) --jobs $(JOBS) --why "$(WHY)"
 
+# Site files of the regression runs, in KIT, the users' folder of them.
+REGRESSION_SITES := grown/caballeriza-comun-grown grown/lakeshore-tubes-grown \
+	further/tvscu-poplardrum further-grown/tvscu-poplardrum-grown \
+	large/lakeshore-tubes-large
+regression:
+	for site in $(REGRESSION_SITES); do \
+		$(BENCH) score $(KIT)/$$site.toml --jobs 2 --why "$(WHY)" || exit 1; \
+	done
+
 clean:
 	rm -rf .venv build dist .mypy_cache .ruff_cache
