--- a/tools/simulation/scenario.py
+++ b/tools/simulation/scenario.py
@@ -22,7 +22,7 @@
 
 
 class Result(typing.NamedTuple):
-    """What a scenario found; `log` has the faults."""
+    """What a scenario found; `log` has the injected faults."""
 
     seed: int
     jobs: int
@@ -81,6 +81,7 @@
     Sets of links are iterated in the order of their hashes.
     """
     numbers: dict[int, int] = {}
+    # Keeps the links, so that no other object gets the id of one.
     known: list[connections.Link] = []
 
     def link_hash(link: connections.Link) -> int:
--- a/tools/simulation/virtual_time.py
+++ b/tools/simulation/virtual_time.py
@@ -16,6 +16,8 @@
 # More iterations of a loop at one point in time mean that it never idles.
 _MAX_TURNS_AT_ONCE: typing.Final = 20_000
 _MAX_CANCEL_ROUNDS: typing.Final = 10
+# Times of 0 mean 'never' in parts of the product.
+_START_S: typing.Final = 1000.0
 
 
 class _IdleSelector(selectors.SelectSelector):
@@ -126,8 +128,8 @@
     """The clock, the events that are due and the processes."""
 
     def __init__(self) -> None:
-        """Start at a time at which no timer is due by accident."""
-        self.now = 1000.0
+        """Start without processes and events."""
+        self.now = _START_S
         self.processes: list[Process] = []
         self.exceptions: list[str] = []
         self.events: list[tuple[float, int, Callback]] = []
