--- a/review/stand_ins/small_site.py
+++ b/review/stand_ins/small_site.py
@@ -181,9 +181,9 @@
     fault, by step and index ("0.0.0").
     """
 
-    def __init__(self, name, machine, control, record, cpu, labels):
+    def __init__(self, name, address, control, record, cpu, labels):
         self.name = name
-        self.machine = machine
+        self.address = address
         self.control = control
         self.record = record
         self.cpu = cpu
@@ -236,7 +236,7 @@
     async def _beat(self, session, url):
         self.sequence += 1
         body = {
-            'Service': 'intake', 'Address': f'{self.machine}:0',
+            'Service': 'intake', 'Address': ':'.join(map(str, self.address)),
             'Zone': 'toledo', 'Version': 'v1', 'Slots': 8, 'State': 'ready',
             'ColdRemainingMs': 0,
             'Capacity': {
@@ -421,13 +421,20 @@
             self.agents.append(machine)
             self.workers.append(
                 Worker(
-                    f'w{len(self.workers) + 1}', ip, (ip, control), record,
-                    cpu, ['a' if self.workers else 'b', f'r1-{len(self.workers) // 3 + 1}'],
+                    f'w{len(self.workers) + 1}', (ip, app), (ip, control),
+                    record, cpu, ['a' if self.workers else 'b', f'r1-{len(self.workers) // 3 + 1}'],
                 )
             )
-        self.app_port = app
 
     async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self.stack.aclose()
+            raise
+        return self
+
+    async def _start(self):
         self.folder = pathlib.Path(
             self.stack.enter_context(tempfile.TemporaryDirectory())
         )
@@ -445,13 +452,12 @@
             )
         self.configure()
         for worker in self.workers:
-            await self._serve(worker.application(), worker.machine, self.app_port)
+            await self._serve(worker.application(), *worker.address)
             task = asyncio.ensure_future(worker.run())
             self.stack.callback(task.cancel)
         for machine in (*self.entries, *self.agents):
             self.stack.push_async_callback(machine.kill)
             machine.start(self.folder)
-        return self
 
     async def __aexit__(self, *_):
         keep = os.environ.get('REVIEW_LOGS')
@@ -645,12 +651,16 @@
     record = Record(folder / 'record.txt')
 
     async def run():
+        # The processes are ended also if the script is told to end.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel
+        )
         async with asyncio.timeout(110):
             return await case(record, trouble)
 
     try:
         broken = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add('could not run:', repr(error))
         print('could not run:', repr(error))
         sys.exit(COULD_NOT_RUN)
