Count each failed run of a stored job once

The store was down for 4.5 s.

Cause: agents send a completion each 0.5 s until it is acknowledged, which takes the record's write. The entry knew a repetition by the ids that wait for a write, a list emptied as soon as the write was scheduled, or by the task's run number, which stays the same while the task waits for room. Each repetition used up an attempt.

Evidence: one `run ended` with outcome failed at the agent, no second start, and `stored job finished` with state failed at the entry. What the entry counted was not logged; it logs `run of a stored job failed` with the number of failures now.

Change: the record has the numbers of failed runs and nothing that it has is applied again, also by the next owner; what the store may not have yet stays in a table, with the agent that asked last, until the write is confirmed. The numbers end with the job; max_attempts bounds them. New fields of records come last, with a default.

Mended with it, by the same rule: a failure counted again after a lost acknowledgement or at the next owner, a failure of an earlier owner's run that did not count, an acknowledgement sent to a process that is gone, completions of done tasks that stay retained until the whole job is over.

Ruled out: the agent counting ends twice (one number in its reports), a failed write taken for a done one (the writer repeats it).

--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -39,13 +39,16 @@
 class OwnedJob:
     """A stored job of this entry.
 
-    `completion_ids` are of completions that are not stored yet. The job is
+    `unstored` has the completions that were applied and that the store may not
+    have yet, with the agents that expect their acknowledgements. The job is
     not `confirmed` while another entry may have taken it over.
     """
 
     job: jobs.Job
     pending: record_writer.PendingRecord
-    completion_ids: AgentCompletions = dataclasses.field(default_factory=list)
+    unstored: dict[messages.CompletionId, fleet.Agent] = dataclasses.field(
+        default_factory=dict
+    )
     confirmed: bool = True
 
 
@@ -138,14 +141,21 @@
             record.checkpoints[task.index] = completion.checkpoint
         if completion.completion_id is None:
             return
-        owned.completion_ids.append((agent, completion.completion_id))
-        if completion.outcome is messages.Outcome.done:
-            record.done_tasks.append(task.index)
-            record.checkpoints.pop(task.index, None)
-        else:
-            record.failure_counts[task.index] = task.failures
+        owned.unstored[completion.completion_id] = agent
+        is_done = completion.outcome is messages.Outcome.done
+        record.add_completion(completion.run, is_done=is_done)
+        if not is_done:
+            log_events.emit(
+                logger,
+                'run of a stored job failed',
+                job=job.id,
+                task=task.index,
+                run=completion.run.number,
+                failures=task.failures,
+                max_attempts=job.max_attempts,
+            )
         if not job.outcome.done():
-            self._schedule_commit(owned)
+            self.spawn(self._commit(owned, completion.completion_id))
 
     def handle_unclaimed(
         self, agent: fleet.Agent, message: messages.UnackedCompletion
@@ -282,17 +292,18 @@
     ) -> None:
         """Apply a completion of a run that this entry may not have started.
 
-        It is applied if it is of the current run, whose agent has restarted,
-        or if this owner has not started the task yet. Once this owner has
-        started the task, completions of an earlier owner's run are ignored,
-        since the task would complete twice.
+        Agents send completions again until they are acknowledged, so one that
+        the record has is not applied twice. Once this owner has started the
+        task, a run of an earlier owner that is done is ignored, since the task
+        would complete twice; one that failed has used up an attempt.
         """
-        if any(known == completion_id for _, known in owned.completion_ids):
-            return
         task = owned.job.task_at(message.step, message.index_in_step)
-        if task is None or task.phase is jobs.Phase.done:
+        if task is None:
             return
         run_id = messages.RunId(task.index, message.run_number)
+        if owned.pending.record.has_completion(run_id):
+            _handle_redelivery(owned, agent, completion_id)
+            return
         completion = messages.Completion(
             owned.job.id, run_id, message.outcome, completion_id
         )
@@ -307,20 +318,33 @@
             self.coordinator.apply_completion(
                 owned.job, task, agent, completion
             )
+        elif message.outcome is messages.Outcome.failed:
+            self._count_failure(owned, task, agent, completion)
 
-    def _schedule_commit(self, owned: OwnedJob) -> None:
-        completion_ids = owned.completion_ids
-        owned.completion_ids = []
-        self.spawn(self._commit(owned, completion_ids))
+    def _count_failure(
+        self,
+        owned: OwnedJob,
+        task: jobs.Task,
+        agent: fleet.Agent,
+        completion: messages.Completion,
+    ) -> None:
+        """Count a failed run besides the current run of its task."""
+        task.failures += 1
+        self.record_completion(owned.job, task, agent, completion)
+        if task.failures >= owned.job.max_attempts:
+            owned.job.resolve(jobs.JobOutcome.failed)
 
     async def _commit(
-        self, owned: OwnedJob, completion_ids: AgentCompletions
+        self, owned: OwnedJob, completion_id: messages.CompletionId
     ) -> None:
+        """Store the record, which has a completion; then acknowledge it."""
         if (
             await self.writer.put(owned.pending)
             is record_writer.WriteResult.committed
         ):
-            _acknowledge(completion_ids)
+            agent = owned.unstored.pop(completion_id, None)
+            if agent is not None:
+                _acknowledge([(agent, completion_id)])
         elif not owned.job.outcome.done():
             self.relinquish(owned)
 
@@ -339,7 +363,12 @@
             await self.writer.put(owned.pending)
             is record_writer.WriteResult.committed
         ):
-            _acknowledge(owned.completion_ids)
+            _acknowledge(
+                [
+                    (agent, completion_id)
+                    for completion_id, agent in owned.unstored.items()
+                ]
+            )
             self.mark_finished(owned.job.id, record.state)
             log_events.emit(
                 logger,
@@ -362,6 +391,20 @@
     return None
 
 
+def _handle_redelivery(
+    owned: OwnedJob, agent: fleet.Agent, completion_id: messages.CompletionId
+) -> None:
+    """Acknowledge a completion that the record has, once it is stored.
+
+    The sender may be a new process of the agent, which has to be acknowledged
+    in place of the earlier one.
+    """
+    if completion_id in owned.unstored:
+        owned.unstored[completion_id] = agent
+    else:
+        _acknowledge([(agent, completion_id)])
+
+
 def _acknowledge(agent_completions: AgentCompletions) -> None:
     by_agent: dict[fleet.Agent, list[messages.CompletionId]] = {}
     for agent, completion_id in agent_completions:
--- a/src/poplardrum/dispatch/records.py
+++ b/src/poplardrum/dispatch/records.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from poplardrum import decoding, ids
-from poplardrum.dispatch import jobs
+from poplardrum.dispatch import jobs, messages
 
 JOBS_PREFIX: typing.Final = 'poplardrum/jobs/'
 # One marker for each unfinished job, below the incarnation of its owner.
@@ -32,9 +32,12 @@
 
     `owner` is the incarnation of the entry that runs the job, and `epoch`
     counts the owners before it. `done_tasks` has the indexes of tasks that
-    are done, `failure_counts` the numbers of failed runs and `checkpoints`
-    the last checkpoints, by index of the task. `target_latency` is in
-    seconds.
+    are done. By index of the task, `failure_counts` has how many runs failed,
+    `failed_runs` the numbers of these runs and `checkpoints` the last
+    checkpoint. `target_latency` is in seconds.
+
+    New fields come last, with a default: entries of the previous version read
+    and write the same records.
     """
 
     owner: ids.Incarnation
@@ -50,6 +53,7 @@
     done_tasks: list[int] = []
     failure_counts: dict[int, int] = {}
     checkpoints: dict[int, str] = {}
+    failed_runs: dict[int, list[int]] = {}
 
     def is_over(self) -> bool:
         """Return whether the job has finished or was cancelled."""
@@ -68,6 +72,30 @@
             done_tasks=list(self.done_tasks),
             failure_counts=dict(self.failure_counts),
             checkpoints=dict(self.checkpoints),
+            failed_runs={
+                task: list(runs) for task, runs in self.failed_runs.items()
+            },
+        )
+
+    def add_completion(self, run: messages.RunId, *, is_done: bool) -> None:
+        """Add the completion of a run, which is done or has failed."""
+        if is_done:
+            self.done_tasks.append(run.task_index)
+            self.checkpoints.pop(run.task_index, None)
+            return
+        failed_runs = self.failed_runs.setdefault(run.task_index, [])
+        failed_runs.append(run.number)
+        previous_count = self.failure_counts.get(run.task_index, 0)
+        self.failure_counts[run.task_index] = previous_count + 1
+
+    def has_completion(self, run: messages.RunId) -> bool:
+        """Return whether the completion of a run is of no further use.
+
+        Either it was added before, or the task is done.
+        """
+        return (
+            run.number in self.failed_runs.get(run.task_index, ())
+            or run.task_index in self.done_tasks
         )
 
     def make_tasks(self) -> list[jobs.Task]:
