Take over jobs whose takeover had no answer

An entry is killed while the store carries out a third of the writes without an answer.

Cause: a takeover without an answer was taken for one that was not done. From then on the marker names the entry itself, which its scan skips, and the other entries see the owner announced. Nobody runs the job.

Evidence: the four jobs that stand still are those of the four takeovers among the lost answers; the entry's log has the write's time-out and no `job taken over`. It logs `job not taken over` with the job and the verdict now.

Change: a scan also takes over jobs whose marker names this entry though it neither runs nor creates them. The epoch rises, so the first write fails if it is carried out late. With it, as the same form: the record writer takes a finished record in the store no longer for its own unanswered write of a new job, and a stale marker is removed only in the version that was read.

--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -105,6 +105,13 @@
         self.spawn(self._await_outcome(owned))
         return owned
 
+    def has_record(self, job: ids.JobId) -> bool:
+        """Return whether this entry keeps the record of a job up to date.
+
+        It does for the jobs that it runs, and for those that it is creating.
+        """
+        return job in self.owned_jobs or job in self.writer.open_records
+
     def spawn(
         self,
         coroutine: typing.Coroutine[typing.Any, typing.Any, object],
--- a/src/poplardrum/dispatch/record_writer.py
+++ b/src/poplardrum/dispatch/record_writer.py
@@ -55,6 +55,15 @@
         default_factory=list,
     )
 
+    def may_have_written(self, stored_record: records.Record) -> bool:
+        """Return whether a stored record may be of an unanswered write.
+
+        A job that is over here may be active there, but not the reverse.
+        """
+        return stored_record.has_same_owner(self.record) and (
+            self.record.is_over() or not stored_record.is_over()
+        )
+
     def changes(self) -> list[store.Change]:
         """Return the changes that store the current record."""
         marker = records.marker_key(self.record.owner, self.job)
@@ -202,8 +211,8 @@
         index = current.index if current else 0
         if index != pending.revision:
             current_record = records.decode(current.value) if current else None
-            if current_record is None or not current_record.has_same_owner(
-                pending.record
+            if current_record is None or not pending.may_have_written(
+                current_record
             ):
                 log_events.emit(
                     logger,
--- a/src/poplardrum/dispatch/takeover.py
+++ b/src/poplardrum/dispatch/takeover.py
@@ -28,6 +28,14 @@
 _MAX_CONCURRENT_TAKEOVERS: typing.Final = 8
 
 
+class Marker(typing.NamedTuple):
+    """Marker of an unfinished job, and the store's index of its last write."""
+
+    owner: ids.Incarnation
+    job: ids.JobId
+    written_at: int
+
+
 class OwnerTracker:
     """Track which owners are announced, and since when others are not."""
 
@@ -144,53 +152,52 @@
             self.ownership.acknowledge_unclaimed(job)
 
     async def scan(self) -> None:
-        """Take over the jobs of owners that are gone."""
+        """Take over the jobs of owners that are gone.
+
+        A job of this entry that does not run here is taken over as well: the
+        write that made this entry the owner had no answer.
+        """
         markers = self._decode_markers(
             await self.store.list(records.OWNED_PREFIX)
         )
-        if all(owner == self.ownership.incarnation for owner, _ in markers):
-            return
-        # A watch may silently deliver no changes, so the members are read here.
-        members = await self.store.list(membership.PREFIX)
-        self.owner_tracker.update_members(membership.decode(members))
-        self.owner_tracker.retain_only({owner for owner, _ in markers})
+        self.owner_tracker.retain_only({marker.owner for marker in markers})
+        if any(marker.owner != self._incarnation() for marker in markers):
+            # A watch may silently deliver no changes, so the members are read
+            # here.
+            members = await self.store.list(membership.PREFIX)
+            self.owner_tracker.update_members(membership.decode(members))
         now = clocks.now()
         abandoned = [
-            (owner, job)
-            for owner, job in markers
-            if self._can_take_over(owner, job, now)
-            and job not in self.ownership.owned_jobs
+            marker for marker in markers if self._can_take_over(marker, now)
         ]
         for start in range(0, len(abandoned), _MAX_CONCURRENT_TAKEOVERS):
             group = abandoned[start : start + _MAX_CONCURRENT_TAKEOVERS]
-            await asyncio.gather(*(self._take_over(*each) for each in group))
+            await asyncio.gather(*map(self._take_over, group))
 
-    def _decode_markers(
-        self,
-        items: list[store.StoredValue],
-    ) -> list[tuple[ids.Incarnation, ids.JobId]]:
+    def _incarnation(self) -> ids.Incarnation:
+        return self.ownership.incarnation
+
+    def _decode_markers(self, items: list[store.StoredValue]) -> list[Marker]:
         markers = []
         for item in items:
-            marker = records.parse_marker_key(item.key)
-            if marker is not None:
+            owner_and_job = records.parse_marker_key(item.key)
+            if owner_and_job is not None:
+                marker = Marker(*owner_and_job, item.index)
                 markers.append(marker)
-                self.owner_tracker.nodes[marker[0]] = item.value.decode(
+                self.owner_tracker.nodes[marker.owner] = item.value.decode(
                     'utf-8', 'replace'
                 )
         return markers
 
-    def _can_take_over(
-        self,
-        owner: ids.Incarnation,
-        job: ids.JobId,
-        now: float,
-    ) -> bool:
-        if owner == self.ownership.incarnation:
+    def _can_take_over(self, marker: Marker, now: float) -> bool:
+        if self.ownership.has_record(marker.job):
             return False
-        gone_for = self.owner_tracker.gone_for(owner, now)
+        if marker.owner == self._incarnation():
+            return True
+        gone_for = self.owner_tracker.gone_for(marker.owner, now)
         if (
-            self.owner_tracker.preferred_owner(job)
-            != self.ownership.incarnation
+            self.owner_tracker.preferred_owner(marker.job)
+            != self._incarnation()
         ):
             gone_for -= _FALLBACK_DELAY_S
         return gone_for > 0
@@ -205,31 +212,21 @@
             return None
         return record, item.index
 
-    async def _take_over(self, owner: ids.Incarnation, job: ids.JobId) -> None:
-        """Take over a job if it still belongs to `owner`, which is gone."""
-        marker = records.marker_key(owner, job)
+    async def _take_over(self, marker: Marker) -> None:
+        """Take over a job if it still belongs to the owner of its marker."""
+        owner, job, _ = marker
         current = await self._read_record(job)
+        if self.ownership.has_record(job):
+            return
         if current is None or current[0].is_over() or current[0].owner != owner:
-            # The marker is stale.
-            await self.store.commit([store.Change(marker, None)])
+            await self.store.commit([_removal(marker)])
             return
-        record, index = current
         cancelled = (
             await self.store.get(records.CANCELS_PREFIX + job) is not None
         )
-        new_record = record.with_next_owner(self.ownership.incarnation)
-        changes = [
-            store.Change(
-                records.record_key(job), records.encode(new_record), index
-            ),
-            store.Change(marker, None),
-            store.Change(
-                records.marker_key(self.ownership.incarnation, job),
-                self.ownership.node.encode(),
-            ),
-        ]
-        result = await self.store.commit(changes)
-        if not result.index or job in self.ownership.owned_jobs:
+        new_record = current[0].with_next_owner(self._incarnation())
+        index = await self._commit_owner(marker, new_record, current[1])
+        if not index or self.ownership.has_record(job):
             return
         log_events.emit(
             logger,
@@ -240,13 +237,53 @@
             done=len(new_record.done_tasks),
             cancelled=cancelled,
         )
-        pending = self.ownership.writer.open(job, new_record, result.index)
+        pending = self.ownership.writer.open(job, new_record, index)
         owned = self.ownership.take_ownership(
             make_job(job, new_record, self.ownership), pending
         )
         if cancelled:
             await self.ownership.cancel(owned)
 
+    async def _commit_owner(
+        self, marker: Marker, new_record: records.Record, index: int
+    ) -> int:
+        """Store a record that names this entry; return its index or 0.
+
+        If the commit has no answer, the next scan finds out what the store
+        has: the marker of the earlier owner, or one of this entry.
+        """
+        changes = [
+            store.Change(
+                records.record_key(marker.job),
+                records.encode(new_record),
+                index,
+            ),
+        ]
+        if marker.owner != self._incarnation():
+            new_marker = store.Change(
+                records.marker_key(self._incarnation(), marker.job),
+                self.ownership.node.encode(),
+            )
+            changes += [_removal(marker), new_marker]
+        try:
+            return (await self.store.commit(changes)).index
+        except errors.PoplardrumError as error:
+            log_events.emit(
+                logger,
+                'job not taken over',
+                job=marker.job,
+                level=logging.WARNING,
+                owner=marker.owner,
+                verdict=error.verdict.value,
+            )
+            raise
+
+
+def _removal(marker: Marker) -> store.Change:
+    """Return the removal of a marker unless it was written again."""
+    marker_key = records.marker_key(marker.owner, marker.job)
+    return store.Change(marker_key, None, marker.written_at)
+
 
 def make_job(
     job: ids.JobId,
