Report completions before active runs, to whichever session the entry has

Cause: what an agent has to tell was tied to the session object. The session of a silent entry ends 0.4 s after its link is lost; the entry's new session began with a list of active runs that lacked the done run, and the completion came with the next repetition, 0.8 s after the task had been started again.

Evidence: `entry linked` at the agent, 5 ms later `tasks sent` with run 2 at the entry, then the acknowledgement of run 1.

Change: a retained completion names the incarnation of the entry, and each new connection reports completions, active runs and load in this order. A session that has expired stays until its last run is over, so a returning entry is not told that a run that still stops is gone. An unexpected error in the first messages of a connection no longer leaves a session with a closed link.

Ruled out: the agents' recent messages (the session that had them is gone), a lapsed lease (the endpoints work for other entries throughout).

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -9,6 +9,7 @@
 from poplardrum import errors, ids, ini, log_events
 from poplardrum.dispatch import (
     clocks,
+    completions,
     connections,
     entry_links,
     entry_sessions,
@@ -113,46 +114,64 @@
                 self.incarnation,
             ),
         )
-        session = await self._handshake(link)
+        hello, rest = await link.receive_hello(
+            messages.EntryHello, timing.HELLO_TIMEOUT_S
+        )
+        link.zone = hello.zone
+        session = self._open_session(hello)
+        session.attach(link)
+        self.links.add(link)
         try:
             with self.keep_alive.watch(link):
-                while not link.closed:
-                    for message in await link.receive():
-                        self._handle_message(session, message)
+                self._report_state(session, link)
+                await self._receive_messages(session, link, rest)
         finally:
             self.links.discard(link)
             if session.detach(link):
                 self._schedule_expiry(session)
 
-    async def _handshake(
-        self, link: connections.Link
+    def _open_session(
+        self, hello: messages.EntryHello
     ) -> entry_sessions.EntrySession:
-        first, rest = await link.receive_hello(
-            messages.EntryHello, timing.HELLO_TIMEOUT_S
-        )
+        """Return the session of an entry; expire those of its earlier starts."""
         for other in list(self.sessions.values()):
-            if other.node == first.node and (
-                other.incarnation != first.incarnation
+            if other.node == hello.node and (
+                other.incarnation != hello.incarnation
             ):
-                self._remove_session(other)
-        link.zone = first.zone
-        session = self.sessions.get(first.incarnation)
-        if session is None:
-            session = entry_sessions.EntrySession(first.node, first.incarnation)
-            self.sessions[first.incarnation] = session
-        session.attach(link)
-        link.send(self.executor.active_runs(session))
-        # Completions precede the load: once it knows of free capacity, the
-        # entry may start their tasks again.
+                self._expire_session(other)
+        return self.sessions.setdefault(
+            hello.incarnation,
+            entry_sessions.EntrySession(hello.node, hello.incarnation),
+        )
+
+    def _report_state(
+        self, session: entry_sessions.EntrySession, link: connections.Link
+    ) -> None:
+        """Send what an entry needs to know before it sends tasks.
+
+        Completions precede all else: an entry that learns first that a run is
+        not active any more, or of free capacity, may start its task again.
+        """
         for retained in self.executor.completions.unacknowledged.values():
-            if retained.session is None or retained.session is session:
+            if link in self._receivers(retained):
                 link.send(retained.message)
+        link.send(self.executor.active_runs(session))
         self.reporter.attach(link)
-        self.links.add(link)
-        log_events.emit(logger, 'entry linked', entry=first.node)
-        for message in rest:
-            self._handle_message(session, message)
-        return session
+        log_events.emit(logger, 'entry linked', entry=session.node)
+
+    async def _receive_messages(
+        self,
+        session: entry_sessions.EntrySession,
+        link: connections.Link,
+        received: list[messages.AnyMessage],
+    ) -> None:
+        """Handle messages that were received and those that come."""
+        while True:
+            for message in received:
+                self._handle_message(session, message)
+            if link.closed:
+                return
+            received = await link.receive()
 
     def _handle_message(
         self, session: entry_sessions.EntrySession, message: messages.AnyMessage
@@ -183,7 +202,7 @@
         heartbeat = self.executor.status.heartbeat
         return entry_links.LinkDemand(
             heartbeat.service if heartbeat else '',
-            self.executor.completions.has_unclaimed(),
+            self.executor.completions.has_unclaimed(self._linked_entries()),
         )
 
     def _broadcast_completion(
@@ -203,14 +222,29 @@
             for retained in self.executor.completions.due_for_resend(
                 clocks.now()
             ):
-                links: typing.Iterable[connections.Link] = self.links
-                if (
-                    retained.session is not None
-                    and retained.session.link is not None
-                ):
-                    links = (retained.session.link,)
-                for link in links:
+                for link in self._receivers(retained):
                     link.send(retained.message)
+            self._remove_ended_sessions()
+
+    def _receivers(
+        self, retained: completions.RetainedCompletion
+    ) -> typing.Collection[connections.Link]:
+        """Return the links to the entries that may own the completion's job.
+
+        That is the entry that started the run. While it has no link, or if it
+        is unknown, the owner may be any entry.
+        """
+        session = self.sessions.get(retained.entry) if retained.entry else None
+        if session is not None and session.link is not None:
+            return (session.link,)
+        return self.links
+
+    def _linked_entries(self) -> set[ids.Incarnation]:
+        return {
+            session.incarnation
+            for session in self.sessions.values()
+            if session.link is not None
+        }
 
     def _schedule_expiry(self, session: entry_sessions.EntrySession) -> None:
         asyncio.get_running_loop().call_later(
@@ -222,8 +256,19 @@
     ) -> None:
         # A timer of an earlier loss does not count.
         if session.link is None and session.losses == losses:
-            self._remove_session(session)
+            self._expire_session(session)
 
-    def _remove_session(self, session: entry_sessions.EntrySession) -> None:
-        self.sessions.pop(session.incarnation, None)
+    def _expire_session(self, session: entry_sessions.EntrySession) -> None:
+        """Stop the runs of an entry that is gone.
+
+        Should it come back before they have stopped, it learns of them: its
+        tasks must not start elsewhere until then.
+        """
+        session.expired = True
         self.executor.stop_runs_of(session)
+        self._remove_ended_sessions()
+
+    def _remove_ended_sessions(self) -> None:
+        for session in list(self.sessions.values()):
+            if session.is_over() and session.link is None:
+                self.sessions.pop(session.incarnation)
--- a/src/poplardrum/dispatch/completions.py
+++ b/src/poplardrum/dispatch/completions.py
@@ -3,7 +3,8 @@
 import dataclasses
 import typing
 
-from poplardrum.dispatch import endpoint_runs, entry_sessions, messages
+from poplardrum import ids
+from poplardrum.dispatch import endpoint_runs, messages
 from poplardrum.platform import endpoints
 
 # The endpoint retains completions of stored jobs with these outcomes until
@@ -24,11 +25,12 @@
 class RetainedCompletion:
     """A completion that is not acknowledged yet.
 
-    `session` is that of the entry that started the run, if known.
+    `entry` is the incarnation that started the run, if known. It outlives the
+    session, in which the entry may not have heard of the completion.
     """
 
     message: messages.UnackedCompletion
-    session: entry_sessions.EntrySession | None
+    entry: ids.Incarnation | None
     sent_at: float
 
 
@@ -58,10 +60,12 @@
         self.last_listed = number
         return True
 
-    def has_unclaimed(self) -> bool:
-        """Return whether completions are retained whose entry is unknown."""
+    def has_unclaimed(
+        self, linked_entries: typing.Container[ids.Incarnation | None]
+    ) -> bool:
+        """Return whether completions are retained of entries without a link."""
         return any(
-            retained.session is None or retained.session.link is None
+            retained.entry not in linked_entries
             for retained in self.unacknowledged.values()
         )
 
@@ -109,9 +113,9 @@
             endpoint_runs.OUTCOME_BY_RUN_OUTCOME[completion.outcome],
             completion_id,
         )
-        session = run.session if run else None
+        entry = run.session.incarnation if run else None
         self.unacknowledged[completion.number] = RetainedCompletion(
-            message, session, now
+            message, entry, now
         )
         return completion_id
 
--- a/src/poplardrum/dispatch/entry_sessions.py
+++ b/src/poplardrum/dispatch/entry_sessions.py
@@ -17,7 +17,8 @@
 
     It survives a short loss of the connection. On each new connection the
     last messages are sent again, since any of them may have been lost;
-    entries ignore those that no longer apply.
+    entries ignore those that no longer apply. An `expired` session ends with
+    its last run, unless the entry connects again before.
     """
 
     def __init__(self, node: str, incarnation: ids.Incarnation) -> None:
@@ -27,6 +28,7 @@
         self.link: connections.Link | None = None
         # Number of active runs of this entry at the endpoint.
         self.active_runs = 0
+        self.expired = False
         # How often the connection was lost.
         self.losses = 0
         self.recent_messages: collections.deque[messages.Message] = (
@@ -44,10 +46,15 @@
     def attach(self, link: connections.Link) -> None:
         """Continue on a new connection; send the last messages again."""
         self.link = link
+        self.expired = False
         link.set_busy(self.active_runs > 0)
         for message in self.recent_messages:
             link.send(message)
 
+    def is_over(self) -> bool:
+        """Return whether it has expired and no run of it is left."""
+        return self.expired and not self.active_runs
+
     def count_run(self, change: int) -> None:
         """Add `change` to the number of active runs."""
         self.active_runs += change
--- a/tests/test_completion_redelivery.py
+++ b/tests/test_completion_redelivery.py
@@ -134,3 +134,25 @@
             [_COMPLETION_NUMBER] * 2,
         )
         self.assertIs(owned.job.tasks[0].phase, jobs.Phase.done)
+
+    async def test_reported_when_the_entry_returns(self) -> None:
+        """Guards against a done task that starts again after a freeze.
+
+        The agent has dropped its session; it reports the completion before
+        its active runs, which lack the run.
+        """
+        await self.entry.create_owned_job(tasks=1)
+        await dispatch_world.wait_until(lambda: self.started_runs(self.link))
+        _, idle_link = self.entry.connect('side-2')
+        self.entry.coordinator.handle_message(
+            self.agent, redelivered(messages.Outcome.done)
+        )
+        self.entry.coordinator.handle_message(
+            self.agent, messages.ActiveRuns([])
+        )
+        self.entry.report_load(self.agent)
+        await dispatch_world.wait_until(
+            lambda: JOB_ID in self.entry.ownership.finished_jobs
+        )
+        self.assertEqual(len(self.started_runs(self.link)), 1)
+        self.assertEqual(self.started_runs(idle_link), [])
