Settle and stop only the run that is meant

Cause: runs were found by job and task. Starts that arrived after the freeze waited for a sign of life of the entry while their runs were stopped and settled and others took their place; the refusal at the end of the wait removed those. What the agent has forgotten is stopped as unknown, and no entry hears of that.

Evidence: run 191 of each task starts 0.3 s after the wake-up and is stopped 0.3 s later as `a run of an earlier process`.

Change: RunTable finds a run by entry, task and number, and removes it only if it is the one that is tracked. A start that waited is sent only if its run still is. StopTasks names runs, so an earlier owner cannot stop those of the next one. Entries and agents have to be of the same version, as the message has changed.

Ruled out: the endpoint (it lists the run until the stop), a lapsed lease.

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -182,7 +182,7 @@
                     session.link.starts_received += 1
                 self.executor.start(session, message)
             case messages.StopTasks():
-                self.executor.stop(message.job, message.task_indexes)
+                self.executor.stop(session, message)
             case messages.Entries():
                 self.update_entries(message)
             case messages.CompletionsAcknowledged():
--- a/src/poplardrum/dispatch/commands.py
+++ b/src/poplardrum/dispatch/commands.py
@@ -58,16 +58,9 @@
         longer tracked.
         """
         for _ in range(_MAX_START_ATTEMPTS):
-            now = clocks.now()
-            until_ms = self.lease.renew(now)
-            if (
-                until_ms is None
-                or run.stopping
-                or not run.session.is_connected()
-            ):
+            until_ms = self._lease_end_for(run)
+            if until_ms is None:
                 break
-            run.fencing_token = self.lease.fencing_token
-            run.started_at = now
             reply = await endpoint.start(
                 endpoints.StartRequest(
                     run.task_name(),
@@ -89,6 +82,19 @@
                 return self._handle_start_reply(run, result)
         return messages.Refusal.endpoint, 'not started in time'
 
+    def _lease_end_for(self, run: endpoint_runs.Run) -> int | None:
+        """Return the lease end to send with a start request, in milliseconds.
+
+        Return `None` if the run must not start: the lease is suspended, the
+        entry has gone or wants it no more, or the run was settled during a
+        wait, so that its task may run elsewhere.
+        """
+        if not self.is_tracked(run) or not run.may_start():
+            return None
+        run.started_at = clocks.now()
+        run.fencing_token = self.lease.fencing_token
+        return self.lease.renew(run.started_at)
+
     async def stop(
         self,
         endpoint: endpoints.EndpointClient,
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -74,13 +74,13 @@
 
     def stop_tasks(self, job: jobs.Job) -> None:
         """Stop all placed tasks of a job."""
-        indexes_by_agent: dict[fleet.Agent, list[int]] = {}
+        runs_by_agent: dict[fleet.Agent, list[messages.RunId]] = {}
         for task in job.placed_tasks():
             if task.agent is not None:
-                indexes_by_agent.setdefault(task.agent, []).append(task.index)
-        for agent, indexes in indexes_by_agent.items():
+                runs_by_agent.setdefault(task.agent, []).append(task.run_id())
+        for agent, runs in runs_by_agent.items():
             if agent.link is not None:
-                agent.link.send(messages.StopTasks(job.id, indexes))
+                agent.link.send(messages.StopTasks(job.id, runs))
 
     def add_agent(self, agent: fleet.Agent) -> None:
         """Add an agent that has connected."""
@@ -210,18 +210,16 @@
     def _reconcile_runs(
         self, agent: fleet.Agent, active: messages.ActiveRuns
     ) -> None:
-        unknown_runs = {
-            (job, run.task_index, run.number) for job, run in active.runs
-        }
+        unknown_runs = set(active.runs)
         for job, task in jobs.tasks_at(self.jobs, agent):
-            key = (job.id, task.index, task.run_number)
-            if key in unknown_runs:
-                unknown_runs.discard(key)
+            run = (job.id, task.run_id())
+            if run in unknown_runs:
+                unknown_runs.discard(run)
             else:
                 self._requeue(job, task)
         if agent.link is not None:
-            for job_id, index, _ in unknown_runs:
-                agent.link.send(messages.StopTasks(job_id, [index]))
+            for job_id, run_id in unknown_runs:
+                agent.link.send(messages.StopTasks(job_id, [run_id]))
         self.placer.schedule()
 
     def _handle_straggler(
@@ -237,7 +235,7 @@
             return
         task.was_moved = True
         task.avoided_nodes.add(agent.node)
-        agent.link.send(messages.StopTasks(job.id, [task.index]))
+        agent.link.send(messages.StopTasks(job.id, [task.run_id()]))
         log_events.emit(
             logger,
             'straggler stopped',
--- a/src/poplardrum/dispatch/endpoint_runs.py
+++ b/src/poplardrum/dispatch/endpoint_runs.py
@@ -64,6 +64,10 @@
             self.run_progress = stragglers.RunProgress(self.started_at)
         self.run_progress.observe(percent, now)
 
+    def may_start(self) -> bool:
+        """Return whether its entry still wants it to start."""
+        return not self.stopping and self.session.is_connected()
+
     def key(self) -> RunKey:
         """Return the key by which the agent tracks the run."""
         return self.job, self.id.task_index
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -4,7 +4,7 @@
 import logging
 import typing
 
-from poplardrum import ids, log_events
+from poplardrum import log_events
 from poplardrum.dispatch import (
     clocks,
     commands,
@@ -16,6 +16,7 @@
     messages,
     metrics,
     monitor,
+    run_table,
 )
 from poplardrum.platform import endpoints
 
@@ -44,7 +45,7 @@
         self.lease = lease.Lease(max_lease)
         self.monitor = monitor.EndpointMonitor()
         self.metrics = metrics.Metrics()
-        self.runs: dict[endpoint_runs.RunKey, endpoint_runs.Run] = {}
+        self.runs = run_table.RunTable()
         self.status = endpoint_status.EndpointStatus()
         self.completions = completions.CompletionTracker()
         # Whether the last report listed only runs that this agent started. An
@@ -58,7 +59,7 @@
         self.commands = commands.EndpointCommands(
             self.lease,
             stop_time,
-            lambda run: self.runs.get(run.key()) is run,
+            self.runs.has,
             self.request_report,
         )
         # Sends the completion of an unknown run to all entries.
@@ -109,8 +110,7 @@
                 request.stored,
                 request.checkpoints.get(run_id.task_index, ''),
             )
-            self.runs[run.key()] = run
-            session.count_run(1)
+            self.runs.add(run)
             self._spawn(self._start_run(run, request.specification))
         for reason, runs in refused.items():
             session.send(messages.Refused(request.job, runs, reason))
@@ -123,10 +123,12 @@
             )
         self.request_report()
 
-    def stop(self, job: ids.JobId, indexes: typing.Iterable[int]) -> None:
-        """Stop tasks of a job; those without a run have ended already."""
-        for index in indexes:
-            run = self.runs.get((job, index))
+    def stop(
+        self, session: entry_sessions.EntrySession, request: messages.StopTasks
+    ) -> None:
+        """Stop runs of an entry; those that are not tracked are over."""
+        for run_id in request.runs:
+            run = self.runs.find(session, request.job, run_id)
             if run is not None:
                 self.stop_run(run)
 
@@ -138,20 +140,15 @@
 
     def stop_runs_of(self, session: entry_sessions.EntrySession) -> None:
         """Stop all runs of an entry that is gone."""
-        for run in list(self.runs.values()):
-            if run.session is session:
-                self.stop_run(run)
+        for run in self.runs.of_session(session):
+            self.stop_run(run)
 
     def active_runs(
         self, session: entry_sessions.EntrySession
     ) -> messages.ActiveRuns:
         """Return the active runs of an entry."""
         return messages.ActiveRuns(
-            [
-                (run.job, run.id)
-                for run in self.runs.values()
-                if run.session is session
-            ],
+            [(run.job, run.id) for run in self.runs.of_session(session)]
         )
 
     def observe_heartbeat(self, heartbeat: endpoints.Heartbeat) -> None:
@@ -199,7 +196,7 @@
                     by_name.get(completion.task), completion, now
                 )
         listed = {(each.task, each.run): each for each in report.active_runs}
-        for run in list(self.runs.values()):
+        for run in self.runs.values():
             listed_run = listed.get((run.task_name(), run.id.number))
             if listed_run is not None:
                 run.observe(listed_run.progress_percent, requested_at, now)
@@ -213,7 +210,7 @@
     def expire_runs(self, now: float) -> None:
         """Complete all runs as lost if the lease has certainly lapsed."""
         if self.runs and self.lease.has_lapsed(now):
-            for run in list(self.runs.values()):
+            for run in self.runs.values():
                 self._complete(run, messages.Outcome.lost, 'lease lapsed')
 
     def _check_incarnation(self, report: endpoints.Report, now: float) -> bool:
@@ -238,7 +235,7 @@
     ) -> messages.Refusal | None:
         if not self.is_accepting():
             return messages.Refusal.not_accepting
-        existing = self.runs.get((request.job, run_id.task_index))
+        existing = self.runs.competitor(request.job, run_id)
         if existing is not None:
             if existing.session is not session:
                 self.stop_run(existing)
@@ -271,8 +268,6 @@
         fencing_token: int,
     ) -> None:
         """Complete or refuse a run that a complete report does not list."""
-        if self.runs.get(run.key()) is not run:
-            return
         if run.listed_from is not None:
             if requested_at >= run.listed_from:
                 self._complete(run, messages.Outcome.lost, 'not in the report')
@@ -358,8 +353,8 @@
         completion_id: messages.CompletionId | None = None,
         checkpoint: str = '',
     ) -> None:
-        if self.runs.pop(completed_run.key(), None) is not None:
-            completed_run.session.count_run(-1)
+        if not self.runs.remove(completed_run):
+            return
         self.status_changed.set()
         self.metrics.increment('runs', outcome.name)
         completed_run.session.send(
@@ -388,9 +383,8 @@
         reason: messages.Refusal,
         details: str,
     ) -> None:
-        if self.runs.pop(run.key(), None) is None:
+        if not self.runs.remove(run):
             return
-        run.session.count_run(-1)
         self.status_changed.set()
         self.metrics.increment('starts_refused', reason.name)
         run.session.send(messages.Refused(run.job, [run.id], reason))
--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -124,7 +124,7 @@
                 job.specification,
                 step.need,
                 step.estimate,
-                [messages.RunId(task.index, task.run_number) for task in tasks],
+                [task.run_id() for task in tasks],
                 step.number,
                 step.first,
                 job.owner is not None,
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -92,6 +92,10 @@
         self.placed_at = now
         agent.track((job, self.index))
 
+    def run_id(self) -> messages.RunId:
+        """Return the id of its current or last run."""
+        return messages.RunId(self.index, self.run_number)
+
     def leave_agent(self, job: ids.JobId, phase: Phase) -> None:
         """Record that its run is over; it now waits or is done."""
         self.phase = phase
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -112,10 +112,14 @@
 
 
 class StopTasks(Message, frozen=True, tag=5):
-    """Command to stop tasks of one job; each is answered by `Completion`."""
+    """Command to stop runs of one job; each is answered by `Completion`.
+
+    An agent stops a run only if the sender started it: two entries may number
+    their runs of a task alike.
+    """
 
     job: ids.JobId
-    task_indexes: list[int]
+    runs: list[RunId]
 
 
 class Ping(Message, frozen=True, tag=6):
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -33,6 +33,7 @@
         self.is_stale = False
         self.is_busy = False
         self.silence_before = 0.0
+        self.received = asyncio.Event()
 
     def send(self, message: messages.Message) -> None:
         """Record a message."""
@@ -308,6 +309,20 @@
             ),
         )
 
+    def stop_tasks(
+        self,
+        indexes: typing.Iterable[int],
+        run: int = 1,
+        session: entry_sessions.EntrySession | None = None,
+    ) -> None:
+        """Send a command to stop runs."""
+        self.executor.stop(
+            session or self.session,
+            messages.StopTasks(
+                JOB_ID, [messages.RunId(index, run) for index in indexes]
+            ),
+        )
+
     def outcomes(self) -> list[messages.Outcome]:
         """Return the outcomes of the completions sent to the entry."""
         return [each.outcome for each in self.link.sent_of(messages.Completion)]
--- a/tests/test_agent_sessions.py
+++ b/tests/test_agent_sessions.py
@@ -171,7 +171,7 @@
         self.addCleanup(resending.cancel)
         self.entry.vanish()
         await dispatch_world.wait_until(lambda: not self.agent.sessions)
-        self.assertEqual(self.world.executor.runs, {})
+        self.assertEqual(self.world.executor.runs.values(), [])
 
 
 class TestUnexpectedErrors(AgentCase):
@@ -179,7 +179,9 @@
 
     async def test_error_after_the_hello(self) -> None:
         """Guards against a session that keeps a closed link for ever."""
-        self.entry.greetings = [messages.StopTasks(JOB_ID, [0])]
+        self.entry.greetings = [
+            messages.StopTasks(JOB_ID, [messages.RunId(0, 1)])
+        ]
         failure = mock.patch.object(
             self.world.executor, 'stop', side_effect=ValueError('unexpected')
         )
--- a/tests/test_dispatch_coordinator.py
+++ b/tests/test_dispatch_coordinator.py
@@ -152,7 +152,10 @@
         self.complete(job, 0, messages.Outcome.done)
         self.coordinator.finish(job)
         stopped = self.link.sent_of(messages.StopTasks)
-        self.assertEqual([each.task_indexes for each in stopped], [[1, 2]])
+        self.assertEqual(
+            [each.runs for each in stopped],
+            [[messages.RunId(1, 1), messages.RunId(2, 1)]],
+        )
 
 
 class TestRefusals(CoordinatorCase):
@@ -253,7 +256,7 @@
         )
         self.assertEqual(
             self.link.sent_of(messages.StopTasks),
-            [messages.StopTasks(unknown, [0])],
+            [messages.StopTasks(unknown, [run])],
         )
 
     async def test_new_process_of_an_agent(self) -> None:
--- a/tests/test_dispatch_executor.py
+++ b/tests/test_dispatch_executor.py
@@ -25,7 +25,7 @@
         await dispatch_world.wait_until(
             lambda: len(self.world.endpoint.leased.running) == 4
         )
-        self.world.executor.stop(dispatch_world.JOB_ID, range(4))
+        self.world.stop_tasks(range(4))
         self.assertEqual(self.world.executor.free_capacity().cpu_millicores, 0)
 
     async def test_draining_endpoint_gets_no_task(self) -> None:
@@ -69,7 +69,7 @@
         self.world.endpoint.faults['start'] = ['late']
         self.world.start_tasks(1)
         await asyncio.sleep(0)
-        self.world.executor.stop(dispatch_world.JOB_ID, [0])
+        self.world.stop_tasks([0])
         await self.wait_for_results(1)
         self.world.endpoint.deliver_delayed()
         self.assertEqual(self.world.endpoint.leased.started_runs, [])
@@ -86,7 +86,7 @@
         await dispatch_world.wait_until(
             lambda: len(self.world.endpoint.leased.running) == 2
         )
-        self.world.executor.stop(dispatch_world.JOB_ID, [0, 1])
+        self.world.stop_tasks([0, 1])
         await self.wait_for_results(2)
         self.assertEqual(
             self.world.outcomes(),
@@ -100,7 +100,7 @@
             lambda: self.world.endpoint.leased.running
         )
         self.world.endpoint.default_faults['stop'] = 'lost'
-        self.world.executor.stop(dispatch_world.JOB_ID, [0])
+        self.world.stop_tasks([0])
         await self.wait_for_results(1)
         self.assertEqual(self.world.endpoint.leased.running, {})
         self.assertEqual(self.world.outcomes(), [messages.Outcome.lost])
@@ -162,7 +162,7 @@
         await dispatch_world.wait_until(
             lambda: self.world.endpoint.leased.running
         )
-        self.world.executor.stop(dispatch_world.JOB_ID, [0])
+        self.world.stop_tasks([0])
         await self.wait_for_results(1)
         await asyncio.sleep(timing.TOTAL_STOP_TIMEOUT_S)
         gate.set()
--- a/tests/test_dispatch_messages.py
+++ b/tests/test_dispatch_messages.py
@@ -132,14 +132,22 @@
     async def test_frames_that_arrive_together(self) -> None:
         """Guards against messages lost or out of order between frames."""
         job = ids.JobId('1')
-        stops = [messages.StopTasks(job, [index]) for index in range(5)]
+        stops = [
+            messages.StopTasks(job, [messages.RunId(index, 1)])
+            for index in range(5)
+        ]
         data = self.frame(*stops[:2]) + self.frame() + self.frame(*stops[2:])
         self.reader.feed_data(data)
         self.assertEqual(await self.link.receive(), stops)
 
     async def test_frames_that_arrive_in_pieces(self) -> None:
         """Guards against a frame that is decoded before all of it is there."""
-        stops = [messages.StopTasks(ids.JobId('1'), list(range(500)))] * 2
+        stops = [
+            messages.StopTasks(
+                ids.JobId('1'),
+                [messages.RunId(index, 1) for index in range(500)],
+            )
+        ] * 2
         received: list[messages.AnyMessage] = []
         data = self.frame(stops[0]) + self.frame(stops[1])
 
@@ -157,7 +165,7 @@
 
     async def test_malformed_frame_after_a_valid_one(self) -> None:
         """Guards against a malformed frame that costs the ones before it."""
-        stop = messages.StopTasks(ids.JobId('1'), [0])
+        stop = messages.StopTasks(ids.JobId('1'), [messages.RunId(0, 1)])
         for malformed in _UNREADABLE_FRAMES[1:]:
             with self.subTest(malformed=malformed):
                 self.setUp()
--- a/tests/test_dispatch_stragglers.py
+++ b/tests/test_dispatch_stragglers.py
@@ -154,7 +154,7 @@
             lambda: self.world.link.sent_of(messages.Straggler)
         )
         self.assertEqual(self.world.outcomes(), [])
-        self.world.executor.stop(dispatch_world.JOB_ID, [0])
+        self.world.stop_tasks([0])
         await dispatch_world.wait_until(self.world.outcomes)
         self.assertEqual(self.world.outcomes(), [messages.Outcome.stopped])
 
@@ -185,7 +185,9 @@
         _, other = self.connect('side-2')
         await self.report_straggler(job, math.inf)
         stops = self.link.sent_of(messages.StopTasks)
-        self.assertEqual(stops, [messages.StopTasks(job.id, [0])])
+        self.assertEqual(
+            stops, [messages.StopTasks(job.id, [messages.RunId(0, 1)])]
+        )
         self.assertEqual(self.count_starts(other), 0)
         self.complete(job, 0, messages.Outcome.stopped)
         await test_dispatch_coordinator.run_event_loop()
@@ -219,4 +221,6 @@
         self.assertEqual(self.link.sent_of(messages.StopTasks), [])
         await self.report_straggler(job, math.inf)
         stops = self.link.sent_of(messages.StopTasks)
-        self.assertEqual(stops, [messages.StopTasks(job.id, [0])])
+        self.assertEqual(
+            stops, [messages.StopTasks(job.id, [messages.RunId(0, 1)])]
+        )
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -191,7 +191,7 @@
         writer = mock.Mock()
         writer.transport.is_closing.return_value = False
         link = connections.Link(asyncio.StreamReader(), writer)
-        link.send(messages.StopTasks(ids.JobId('j'), [HUGE]))
+        link.send(messages.StopTasks(ids.JobId('j'), [messages.RunId(HUGE, 1)]))
         with self.assertLogs(level='ERROR'):
             link.flush()
         self.assertTrue(link.closed)
--- a/tools/simulation/scenario.py
+++ b/tools/simulation/scenario.py
@@ -131,7 +131,9 @@
         if not agent.executor.is_accepting():
             ledger.record_violation('agent does not accept', node)
         if agent.executor.runs:
-            ledger.record_violation('runs left', f'{agent.executor.runs}')
+            ledger.record_violation(
+                'runs left', f'{agent.executor.runs.values()}'
+            )
     for entry in simulated.entries.values():
         _check_entry(entry, simulated)
 
