Send overdue completions to all entries

Cause: a completion went to the entry that started the run as long as that was linked. That entry could not store it, and the next owner, linked to the same agents, never heard of it.

Change: after 1.25 s without an acknowledgement a completion goes to all entries, each 2 s, and the agent links to all of them at once. The owner stops its tasks 4.5 s after its last proof of its announcement and others take over after 7.35 s, so the next owner knows of each completion before it starts a task.

Ruled out: the next owner asking all agents (it has no links to some at over 12 entries, and cannot dial them); sending each completion to all entries at once (one message becomes as many as there are entries, at each end of a run).

Tests: test_agent_sessions.TestEntryWithoutStore, both fail without the change.

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -152,8 +152,9 @@
         Completions precede all else: an entry that learns first that a run is
         not active any more, or of free capacity, may start its task again.
         """
+        now = clocks.now()
         for retained in self.executor.completions.unacknowledged.values():
-            if link in self._receivers(retained):
+            if link in self._receivers(retained, now):
                 link.send(retained.message)
         link.send(self.executor.active_runs(session))
         self.reporter.attach(link)
@@ -202,7 +203,9 @@
         heartbeat = self.executor.status.heartbeat
         return entry_links.LinkDemand(
             heartbeat.service if heartbeat else '',
-            self.executor.completions.has_unclaimed(self._linked_entries()),
+            self.executor.completions.has_unclaimed(
+                self._linked_entries(), clocks.now()
+            ),
         )
 
     def _broadcast_completion(
@@ -219,25 +222,30 @@
                 if self.executor.completions.unacknowledged
                 else _IDLE_RESEND_POLL_INTERVAL_S
             )
-            for retained in self.executor.completions.due_for_resend(
-                clocks.now()
-            ):
-                for link in self._receivers(retained):
-                    link.send(retained.message)
+            self._resend_completions(clocks.now())
             self._remove_ended_sessions()
 
+    def _resend_completions(self, now: float) -> None:
+        due = self.executor.completions.due_for_resend(now)
+        for retained in due:
+            for link in self._receivers(retained, now):
+                link.send(retained.message)
+        if any(retained.is_overdue(now) for retained in due):
+            # Link to all entries without delay.
+            self.entry_links.review(now)
+
     def _receivers(
-        self, retained: completions.RetainedCompletion
+        self, retained: completions.RetainedCompletion, now: float
     ) -> typing.Collection[connections.Link]:
         """Return the links to the entries that may own the completion's job.
 
-        That is the entry that started the run. While it has no link, or if it
-        is unknown, the owner may be any entry.
+        That is the entry that started the run. While it has no link, does not
+        acknowledge or is unknown, the owner may be any entry.
         """
         session = self.sessions.get(retained.entry) if retained.entry else None
-        if session is not None and session.link is not None:
-            return (session.link,)
-        return self.links
+        if session is None or session.link is None:
+            return self.links
+        return self.links if retained.is_overdue(now) else (session.link,)
 
     def _linked_entries(self) -> set[ids.Incarnation]:
         return {
--- a/src/poplardrum/dispatch/completions.py
+++ b/src/poplardrum/dispatch/completions.py
@@ -1,10 +1,11 @@
 """Completions that an endpoint lists, and their acknowledgement."""
 
 import dataclasses
+import math
 import typing
 
 from poplardrum import ids
-from poplardrum.dispatch import endpoint_runs, messages
+from poplardrum.dispatch import endpoint_runs, messages, timing
 from poplardrum.platform import endpoints
 
 # The endpoint retains completions of stored jobs with these outcomes until
@@ -14,6 +15,8 @@
 )
 # Time without an acknowledgement after which a completion is sent again.
 _RESEND_AFTER_S: typing.Final = 0.5
+# Interval at which an overdue completion is sent to all entries.
+_BROADCAST_INTERVAL_S: typing.Final = 2.0
 _MAX_RESENT_AT_ONCE: typing.Final = 100
 # Completions that the endpoint may retain because an earlier one is not
 # acknowledged. If it retains more than a report lists, new completions do not
@@ -27,11 +30,32 @@
 
     `entry` is the incarnation that started the run, if known. It outlives the
     session, in which the entry may not have heard of the completion.
+
+    Once it is overdue, the entry is taken for one that cannot store it, and any
+    entry may be the next owner of the job.
     """
 
     message: messages.UnackedCompletion
     entry: ids.Incarnation | None
+    retained_at: float
     sent_at: float
+    broadcast_at: float = -math.inf
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether its entry has not acknowledged it for too long."""
+        return now - self.retained_at > timing.COMPLETION_OVERDUE_S
+
+    def is_due(self, now: float) -> bool:
+        """Return whether it has to be sent again."""
+        if self.is_overdue(now):
+            return now - self.broadcast_at > _BROADCAST_INTERVAL_S
+        return now - self.sent_at > _RESEND_AFTER_S
+
+    def record_sent(self, now: float) -> None:
+        """Record that it is sent now."""
+        self.sent_at = now
+        if self.is_overdue(now):
+            self.broadcast_at = now
 
 
 class CompletionTracker:
@@ -61,11 +85,16 @@
         return True
 
     def has_unclaimed(
-        self, linked_entries: typing.Container[ids.Incarnation | None]
+        self,
+        linked_entries: typing.Container[ids.Incarnation | None],
+        now: float,
     ) -> bool:
-        """Return whether completions are retained of entries without a link."""
+        """Return whether any entry may have to hear of a completion.
+
+        That is so if its entry has no link, or if it is overdue.
+        """
         return any(
-            retained.entry not in linked_entries
+            retained.entry not in linked_entries or retained.is_overdue(now)
             for retained in self.unacknowledged.values()
         )
 
@@ -115,7 +144,7 @@
         )
         entry = run.session.incarnation if run else None
         self.unacknowledged[completion.number] = RetainedCompletion(
-            message, entry, now
+            message, entry, retained_at=now, sent_at=now
         )
         return completion_id
 
@@ -135,8 +164,8 @@
         due = [
             retained
             for retained in self.unacknowledged.values()
-            if now - retained.sent_at > _RESEND_AFTER_S
-        ]
-        for retained in due[:_MAX_RESENT_AT_ONCE]:
-            retained.sent_at = now
-        return due[:_MAX_RESENT_AT_ONCE]
+            if retained.is_due(now)
+        ][:_MAX_RESENT_AT_ONCE]
+        for retained in due:
+            retained.record_sent(now)
+        return due
--- a/src/poplardrum/dispatch/timing.py
+++ b/src/poplardrum/dispatch/timing.py
@@ -65,6 +65,10 @@
     return granted * (1 + 2 * MAX_CLOCK_DRIFT) + LEASE_SLACK_S
 
 
+# A completion without an acknowledgement for this long goes to all entries, since
+# its entry may be unable to store it. The next owner has to know of it when it
+# takes the job over.
+COMPLETION_OVERDUE_S: typing.Final = 1.25
 # An entry that has not seen its own announcement in the store for this long
 # stops the stored jobs that it owns, so that others can take them over.
 OWNERSHIP_TIMEOUT_S: typing.Final = 4.5
--- a/tests/test_agent_sessions.py
+++ b/tests/test_agent_sessions.py
@@ -191,3 +191,60 @@
             await dispatch_world.wait_until(
                 lambda: not self.agent.links and not self.agent.sessions
             )
+
+
+class TestEntryWithoutStore(AgentCase):
+    """An entry that is linked, but does not acknowledge completions."""
+
+    async def test_overdue_completion_goes_to_all_entries(self) -> None:
+        """Guards against a done task that the next owner starts again.
+
+        The store turned the entry away. It kept its links, so the completions
+        went to it alone, and another entry took its jobs over.
+        """
+        other = FakeEntry('front-2')
+        await other.listen()
+        self.addCleanup(other.vanish)
+        self.agent.entry_links.add_seeds([other.address])
+        await dispatch_world.wait_until(lambda: other.received)
+        resending = asyncio.ensure_future(self.agent.resend_completions())
+        self.addCleanup(resending.cancel)
+        await self.start_run()
+        await dispatch_world.wait_until(
+            lambda: self.entry.received_of(messages.Completion)
+        )
+        self.assertEqual(other.received_of(messages.UnackedCompletion), [])
+        await dispatch_world.wait_until(
+            lambda: other.received_of(messages.UnackedCompletion)
+        )
+        self.assertTrue(self.entry.received_of(messages.UnackedCompletion))
+
+    async def test_links_to_all_entries(self) -> None:
+        """Guards against a next owner that the agent has no link to."""
+        await self.start_run()
+        await dispatch_world.wait_until(
+            lambda: self.entry.received_of(messages.Completion)
+        )
+        resending = asyncio.ensure_future(self.agent.resend_completions())
+        self.addCleanup(resending.cancel)
+        others = [FakeEntry(f'front-{number}') for number in range(2, 16)]
+        async with contextlib.AsyncExitStack() as stack:
+            for other in others:
+                await other.listen()
+                stack.callback(other.vanish)
+            self.agent.update_entries(
+                messages.Entries(
+                    1,
+                    [
+                        messages.EntryAddress(*each.address, 'toledo')
+                        for each in (self.entry, *others)
+                    ],
+                )
+            )
+            await dispatch_world.wait_until(
+                lambda: all(
+                    other.received
+                    and other.received_of(messages.UnackedCompletion)
+                    for other in others
+                )
+            )
