Skip values of other writers that no reader can use

Other operators reported that one odd entry in a list of workers cost the machines that read it. Looked for here: an announced entry with a port of more than 64 bits was accepted. Each frame with the list of entries then failed to be encoded, which ends the link, so an entry lost all its agents again and again. A port out of range was dialled each second. A job record with an impossible number of tasks or the end of a task that it does not have would end its next owner by memory or by a scan that fails each time. Deep nesting did no harm.

Change: ports, names, counts, needs and indexes have ranges where they are decoded, in announcements, registrations of the product's own form, counts and records.

Tests: test_malformed_input.TestOddMembers, TestOddRegistrations and TestOddRecords fail without the change, but for the deeply nested value, which held.

--- a/src/poplardrum/dispatch/membership.py
+++ b/src/poplardrum/dispatch/membership.py
@@ -22,19 +22,27 @@
 _RETRY_INTERVAL_S: typing.Final = 0.5
 _MIN_RENEW_INTERVAL_S: typing.Final = 0.1
 _MAX_RETRY_INTERVAL_S: typing.Final = 2.0
+_MAX_INCARNATION_LENGTH: typing.Final = 64
+_MAX_LACKS: typing.Final = 256
 
 
 class Member(msgspec.Struct, frozen=True, array_like=True):
     """An announced entry: its address, incarnation and availability zone.
 
-    It `lacks` agents of some services.
+    It `lacks` agents of some services. All values are bounded: entries send
+    them to their agents, and one that cannot be encoded or dialled would cost
+    each of these links.
     """
 
-    host: str
-    port: int
-    incarnation: ids.Incarnation = ids.Incarnation('')
-    zone: str = ''
-    lacks: tuple[str, ...] = ()
+    host: decoding.Name
+    port: decoding.Port
+    incarnation: typing.Annotated[
+        ids.Incarnation, msgspec.Meta(max_length=_MAX_INCARNATION_LENGTH)
+    ] = ids.Incarnation('')
+    zone: decoding.Name = ''
+    lacks: typing.Annotated[
+        tuple[decoding.Name, ...], msgspec.Meta(max_length=_MAX_LACKS)
+    ] = ()
 
     def entry_address(self) -> messages.EntryAddress:
         """Return what agents need to know of it."""
--- a/src/poplardrum/dispatch/records.py
+++ b/src/poplardrum/dispatch/records.py
@@ -16,6 +16,10 @@
 # Each owner numbers its runs from a higher multiple of this, and thus above
 # those of all earlier owners.
 RUNS_PER_OWNER: typing.Final = 1000
+# Bounds of what a record may say, above those of submissions.
+_MAX_TASKS: typing.Final = 100_000
+_MAX_NEED: typing.Final = 2**31
+_MAX_EPOCH: typing.Final = 10**6
 
 
 class State(enum.Enum):
@@ -136,9 +140,33 @@
 def decode(content: bytes) -> Record | None:
     """Decode a stored record; return `None` if it is no record."""
     try:
-        return decoding.decode_message(_decoder, content)
+        record = decoding.decode_message(_decoder, content)
     except ValueError:
         return None
+    return record if _is_consistent(record) else None
+
+
+def _is_consistent(record: Record) -> bool:
+    """Return whether a record of another writer can be of a job."""
+    task_count = 0
+    for number, step in enumerate(record.steps):
+        if step.first != task_count or not 0 <= step.count <= _MAX_TASKS:
+            return False
+        if not all(0 <= earlier < number for earlier in step.after):
+            return False
+        if not all(0 <= need <= _MAX_NEED for need in _needs(step)):
+            return False
+        task_count += step.count
+    indexes = (*record.done_tasks, *record.failure_counts, *record.checkpoints)
+    return (
+        task_count <= _MAX_TASKS
+        and 0 <= record.epoch <= _MAX_EPOCH
+        and all(0 <= index < task_count for index in indexes)
+    )
+
+
+def _needs(step: jobs.Step) -> tuple[int, int, int]:
+    return step.need.cpu_millicores, step.need.memory_mb, step.need.gpus
 
 
 _encoder: typing.Final = msgspec.msgpack.Encoder()
--- a/src/poplardrum/dispatch/stored_jobs.py
+++ b/src/poplardrum/dispatch/stored_jobs.py
@@ -33,7 +33,7 @@
     """Number of jobs of one entry that have not started yet, by queue."""
 
     owner: ids.Incarnation
-    waiting: dict[str, int]
+    waiting: dict[str, decoding.Amount]
 
 
 class StoredJobs:
--- a/src/poplardrum/peers/messages.py
+++ b/src/poplardrum/peers/messages.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from poplardrum import errors, ids
+from poplardrum import decoding, errors, ids
 
 
 class Role(enum.Enum):
@@ -30,17 +30,21 @@
 
 
 class Member(msgspec.Struct, frozen=True):
-    """One process of the system as its peers know it."""
+    """One process of the system as its peers know it.
+
+    Registrations are read from the store, to which others may write, so the
+    values are bounded by what peers can dial and encode.
+    """
 
     id: ids.MemberId
     role: Role
     incarnation: ids.Incarnation
-    host: str
-    port: int
-    region: str
-    zone: str
+    host: decoding.Name
+    port: decoding.Port
+    region: decoding.Name
+    zone: decoding.Name
     state: MemberState = MemberState.ready
-    version: int = 0
+    version: decoding.Sequence = 0
 
 
 class Load(msgspec.Struct, array_like=True, frozen=True):
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -9,8 +9,15 @@
 import msgspec
 from hypothesis import strategies
 
-from poplardrum import errors, ids
-from poplardrum.dispatch import connections, membership, messages, records
+from poplardrum import decoding, errors, ids
+from poplardrum.dispatch import (
+    connections,
+    jobs,
+    membership,
+    messages,
+    records,
+)
+from poplardrum.peers import messages as peer_messages
 from poplardrum.platform import endpoints, job_api, kv, store
 from tests import profiles
 
@@ -169,6 +176,113 @@
             kv.decode_reply(b'{"x":' + NESTED_JSON + b'}', kv.LeaseReply)
 
 
+class TestOddMembers(unittest.TestCase):
+    """One odd entry of another writer among the announced ones."""
+
+    def decode_beside_a_valid_one(
+        self, content: bytes
+    ) -> list[messages.EntryAddress]:
+        """Return the entries of a list of one odd and one valid value."""
+        valid = store.StoredValue(
+            f'{membership.PREFIX}valid', b'["10.0.0.1",7720,"i","z",[]]', 2
+        )
+        with mock.patch.object(membership.logger, 'warning'):
+            snapshot = store.Snapshot(2, [stored(content), valid])
+            return membership.to_entries(snapshot).entries
+
+    def test_values_that_no_agent_can_use(self) -> None:
+        """Guards against an odd entry that costs all links of all agents.
+
+        A port too large for a message made each frame with the list fail, and
+        each failure ends the link; one out of range cannot be dialled.
+        """
+        for content in (
+            b'["10.0.0.1",%d]' % HUGE,
+            b'["10.0.0.1",70000]',
+            b'["10.0.0.1",0]',
+            b'["10.0.0.1",-1]',
+            b'["%s",1]' % (b'x' * NESTING),
+            b'["10.0.0.1",1,"i","z",["%s"]]' % (b'x' * NESTING),
+            NESTED_JSON,
+        ):
+            with self.subTest(content=content[:32]):
+                addresses = self.decode_beside_a_valid_one(content)
+                self.assertEqual([each.port for each in addresses], [7720])
+
+    @EXAMPLES
+    @hypothesis.given(json_values, json_values, json_values)
+    def test_any_fields(self, host: object, port: object, zone: object) -> None:
+        """Guards against a list that cannot be sent to agents."""
+        content = msgspec.json.encode([host, port, 'i', zone])
+        addresses = self.decode_beside_a_valid_one(content)
+        message = messages.Entries(1, addresses)
+        self.assertTrue(msgspec.msgpack.encode([message]))
+
+
+class TestOddRegistrations(unittest.TestCase):
+    """One odd registration of another writer, in the product's own form."""
+
+    def test_values_that_no_peer_can_use(self) -> None:
+        """Guards against a registration that costs the links of its readers."""
+        valid = peer_messages.Member(
+            ids.MemberId('m'),
+            peer_messages.Role.agent,
+            ids.Incarnation('i'),
+            '10.0.0.1',
+            7720,
+            'r',
+            'z',
+        )
+        document = msgspec.json.decode(msgspec.json.encode(valid))
+        self.assertEqual(self.decode(document), valid)
+        for field, odd in (
+            ('port', HUGE),
+            ('port', 70000),
+            ('version', HUGE),
+            ('host', 'x' * NESTING),
+        ):
+            with self.subTest(field=field):
+                with self.assertRaises(msgspec.DecodeError):
+                    self.decode({**document, field: odd})
+
+    def decode(self, document: dict[str, object]) -> peer_messages.Member:
+        """Decode a registration as its readers do."""
+        content = msgspec.json.encode(document)
+        return decoding.decode_json(content, peer_messages.Member)
+
+
+class TestOddRecords(unittest.TestCase):
+    """Records of another writer that no job can have."""
+
+    def assert_unreadable(self, **changes: object) -> None:
+        """Check that a record with changed fields is skipped."""
+        step = jobs.Step(0, 0, 2, messages.Resources(1, 1, 0), 0.1)
+        record = msgspec.structs.replace(_make_record(), steps=[step])
+        self.assertIsNotNone(records.decode(records.encode(record)))
+        changed = msgspec.structs.replace(record, **changes)
+        self.assertIsNone(records.decode(records.encode(changed)))
+
+    def test_tasks_that_the_job_does_not_have(self) -> None:
+        """Guards against a scan for takeovers that fails at each attempt."""
+        self.assert_unreadable(done_tasks=[2])
+        self.assert_unreadable(done_tasks=[-1])
+        self.assert_unreadable(failure_counts={7: 1})
+        self.assert_unreadable(epoch=2**62)
+
+    def test_steps_that_no_submission_can_have(self) -> None:
+        """Guards against a record that takes all memory of its next owner."""
+        need = messages.Resources(1, 1, 0)
+        for step in (
+            jobs.Step(0, 0, 2**40, need, 0.1),
+            jobs.Step(0, 0, -1, need, 0.1),
+            jobs.Step(0, 3, 2, need, 0.1),
+            jobs.Step(0, 0, 2, messages.Resources(2**62, 1, 0), 0.1),
+            jobs.Step(0, 0, 2, need, 0.1, after=(0,)),
+        ):
+            with self.subTest(step=step):
+                self.assert_unreadable(steps=[step])
+
+
 class TestMalformedFrames(unittest.IsolatedAsyncioTestCase):
     """Guards against frames that end the task of a connection."""
 
