Confirm jobs that were stored while ownership was uncertain

If another entry took it over before the first one was announced again, both ran it.

Change: such a job is not confirmed, so the entry writes its record again, on the condition that nobody else has, before it starts a task.

Test: TestOwnership.test_job_stored_while_ownership_is_uncertain; without the change the entry keeps the job (time limit).

--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -93,8 +93,12 @@
     def take_ownership(
         self, job: jobs.Job, pending: record_writer.PendingRecord
     ) -> OwnedJob:
-        """Own a job whose record is stored, and run it."""
-        owned = OwnedJob(job, pending)
+        """Own a job whose record is stored, and run it.
+
+        If this entry cannot own jobs now, another one may have taken the job
+        over since its record was stored.
+        """
+        owned = OwnedJob(job, pending, confirmed=self.can_own_jobs())
         self.owned_jobs[job.id] = owned
         self._apply_unclaimed(owned)
         # The last owner may have stored all completions, but not the outcome.
--- a/tests/test_stored_jobs.py
+++ b/tests/test_stored_jobs.py
@@ -152,6 +152,24 @@
         await asyncio.sleep(0.02)
         self.assertEqual(self.started_runs(self.link), [])
 
+    async def test_job_stored_while_ownership_is_uncertain(self) -> None:
+        """Guards against two owners of a job that was stored in an outage.
+
+        Another entry took it over before its creator was announced again.
+        """
+        self.entry.can_own_jobs = False
+        await self.entry.create_owned_job()
+        await stored_world.take_over(self.start('b'))
+        monitor_task = asyncio.ensure_future(
+            self.entry.ownership.monitor_validity(0.001)
+        )
+        self.addCleanup(monitor_task.cancel)
+        self.entry.can_own_jobs = True
+        await dispatch_world.wait_until(
+            lambda: not self.entry.ownership.owned_jobs
+        )
+        self.assertEqual(self.started_runs(self.link), [])
+
     async def test_tasks_stop_when_ownership_ends(self) -> None:
         """Guards against runs besides those of the next owner."""
         await self.entry.create_owned_job()
