Forget since when owners are missing after a time without scans

An entry that could not scan for a while, as in an outage of the store, or that returned early because no other entry had jobs, kept that time. An owner that had been announced meanwhile and was missing again was taken for gone at once, though it may run its jobs for 4.5 s.

Change: the times are dropped if the last read is longer ago than an owner may run its jobs without its announcement.

Tests: test_takeover.TestMissingOwners: the first fails without the change (taken over after 1 s instead of 7.35 s), the second if scans do not drop owners without jobs.

--- a/src/poplardrum/dispatch/takeover.py
+++ b/src/poplardrum/dispatch/takeover.py
@@ -4,6 +4,7 @@
 import contextlib
 import hashlib
 import logging
+import math
 import random
 import typing
 
@@ -43,6 +44,7 @@
         """Create a tracker without members."""
         self.members: dict[str, membership.Member] = {}
         self.missing_since: dict[ids.Incarnation, float] = {}
+        self.last_read_at = -math.inf
         self.nodes: dict[ids.Incarnation, str] = {}
 
     def update_members(self, members: dict[str, membership.Member]) -> None:
@@ -52,6 +54,16 @@
             self.nodes[member.incarnation] = node
             self.missing_since.pop(member.incarnation, None)
 
+    def begin_read(self, now: float) -> None:
+        """Begin a read of the members.
+
+        After a long time without one it is not known which owners have been
+        announced meanwhile, and may run their jobs.
+        """
+        if now - self.last_read_at > timing.OWNERSHIP_TIMEOUT_S:
+            self.missing_since.clear()
+        self.last_read_at = now
+
     def announced(self) -> set[ids.Incarnation]:
         """Return the incarnations of all announced entries."""
         return {member.incarnation for member in self.members.values()}
@@ -164,7 +176,9 @@
         if any(marker.owner != self._incarnation() for marker in markers):
             # A watch may silently deliver no changes, so the members are read
             # here.
+            requested_at = clocks.now()
             members = await self.store.list(membership.PREFIX)
+            self.owner_tracker.begin_read(requested_at)
             self.owner_tracker.update_members(membership.decode(members))
         now = clocks.now()
         abandoned = [
--- a/tests/stored_world.py
+++ b/tests/stored_world.py
@@ -9,6 +9,7 @@
 
 from poplardrum import errors, ids
 from poplardrum.dispatch import (
+    clocks,
     connections,
     coordinator,
     fleet,
@@ -241,6 +242,7 @@
 
 async def take_over(entry: Entry) -> typing.Any:
     """Make an entry take over all jobs of owners that are gone."""
+    entry.owner_tracker.last_read_at = clocks.now()
     entry.owner_tracker.missing_since[ids.Incarnation('a')] = -1000.0
     name = entry.ownership.incarnation
     member = membership.Member('10.0.0.1', 1, name)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -3,7 +3,14 @@
 import typing
 from unittest import mock
 
-from poplardrum.dispatch import messages, record_writer, records
+from poplardrum import ids
+from poplardrum.dispatch import (
+    clocks,
+    messages,
+    record_writer,
+    records,
+    timing,
+)
 from poplardrum.platform import store
 from tests import dispatch_world, stored_world
 
@@ -101,6 +108,53 @@
         self.assertIn(self.marker_key(), self.store.values)
 
 
+class TestMissingOwners(stored_world.StoredCase):
+    """How long an owner has been missing, over scans far apart."""
+
+    async def asyncSetUp(self) -> None:
+        """Let entry `b` miss the owner of a job once."""
+        await super().asyncSetUp()
+        self.now = 100.0
+        self.enterContext(mock.patch.object(clocks, 'now', lambda: self.now))
+        await self.entry.create_owned_job(tasks=1)
+        self.other = self.start('b')
+        await self.other.takeover.scan()
+
+    async def scan_until_taken_over(self) -> float:
+        """Scan each second; return how long the takeover took."""
+        started_at = self.now
+        while not self.other.ownership.owned_jobs:
+            self.now += 1
+            await self.other.takeover.scan()
+        return self.now - started_at
+
+    async def test_long_after_the_last_scan(self) -> None:
+        """Guards against two owners after an outage of the store.
+
+        The entry could not scan. In the meantime the owner was announced again
+        and may run its job still.
+        """
+        self.now += 60
+        self.assertGreater(
+            await self.scan_until_taken_over(), timing.TAKEOVER_TIMEOUT_S
+        )
+
+    async def test_owner_without_jobs_for_a_while(self) -> None:
+        """Guards against an owner that is taken for gone at once.
+
+        Its absence was noted at a time of which no job is left.
+        """
+        key = records.marker_key(ids.Incarnation('a'), JOB_ID)
+        self.store.apply([store.Change(key, None)])
+        for _ in range(10):
+            self.now += 1
+            await self.other.takeover.scan()
+        self.store.apply([store.Change(key, b'node-a')])
+        self.assertGreater(
+            await self.scan_until_taken_over(), timing.TAKEOVER_TIMEOUT_S
+        )
+
+
 class TestFinishedRecord(stored_world.StoredCase):
     """A record of a finished job is never replaced by an active one."""
 
