Retry conflicts after a pause, and number runs of owners far apart

Each start takes a run number, and after 1,000 of them the numbers reach those of the next owner: a completion of one would count as that of the other.

Change: a task that conflicts is queued again after 20 ms; owners number their runs a million apart. Tests that had the number 1,000 in them use the constant.

--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -197,15 +197,14 @@
             if found is None:
                 continue
             job, task = found
-            self._requeue(job, task)
             if refusal.reason is not messages.Refusal.no_room:
                 task.avoided_nodes.add(agent.node)
-        if refusal.reason is messages.Refusal.conflict:
-            loop = asyncio.get_running_loop()
-            loop.call_later(_CONFLICT_RETRY_DELAY_S, self.placer.schedule)
-        else:
-            # The frame of the refusal also has the load that caused it.
-            self.placer.schedule()
+            if refusal.reason is messages.Refusal.conflict:
+                self._requeue_later(job, task)
+            else:
+                self._requeue(job, task)
+        # The frame of the refusal also has the load that caused it.
+        self.placer.schedule()
 
     def _reconcile_runs(
         self, agent: fleet.Agent, active: messages.ActiveRuns
@@ -250,6 +249,22 @@
         task.leave_agent(job.id, jobs.Phase.waiting)
         self.placer.add(job)
 
+    def _requeue_later(self, job: jobs.Job, task: jobs.Task) -> None:
+        """Queue a task again after a while.
+
+        Each try takes a run number, and a load report that comes with the
+        refusal would place the task again at once.
+        """
+        task.leave_agent(job.id, jobs.Phase.waiting)
+        asyncio.get_running_loop().call_later(
+            _CONFLICT_RETRY_DELAY_S, self._place_again, job
+        )
+
+    def _place_again(self, job: jobs.Job) -> None:
+        if self.jobs.get(job.id) is job:
+            self.placer.add(job)
+            self.placer.schedule()
+
     def _find_placed_task(
         self,
         agent: fleet.Agent,
--- a/src/poplardrum/dispatch/records.py
+++ b/src/poplardrum/dispatch/records.py
@@ -14,8 +14,8 @@
 CANCELS_PREFIX: typing.Final = 'poplardrum/cancels/'
 WAITING_PREFIX: typing.Final = 'poplardrum/waiting/'
 # Each owner numbers its runs from a higher multiple of this, and thus above
-# those of all earlier owners.
-RUNS_PER_OWNER: typing.Final = 1000
+# those of all earlier owners. Refused runs take numbers too.
+RUNS_PER_OWNER: typing.Final = 10**6
 # Bounds of what a record may say, above those of submissions.
 _MAX_TASKS: typing.Final = 100_000
 _MAX_NEED: typing.Final = 2**31
--- a/tests/test_stored_completions.py
+++ b/tests/test_stored_completions.py
@@ -69,7 +69,7 @@
             lambda: JOB_ID in other.ownership.finished_jobs
         )
         self.assertIs(self.store.record().state, records.State.failed)
-        self.assertEqual(self.started_runs(link), [1001])
+        self.assertEqual(self.started_runs(link), [records.RUNS_PER_OWNER + 1])
 
     async def test_completion_not_stored_by_the_last_owner(self) -> None:
         """Guards against a start of a task whose completion is acknowledged."""
--- a/tests/test_stored_jobs.py
+++ b/tests/test_stored_jobs.py
@@ -136,7 +136,8 @@
         self.assertEqual(next_record.epoch, 1)
         next_tasks = next_record.make_tasks()
         self.assertEqual(
-            [task.run_number for task in next_tasks], [1000, 1000, 1000]
+            [task.run_number for task in next_tasks],
+            [records.RUNS_PER_OWNER] * 3,
         )
         self.assertIs(next_tasks[1].phase, jobs.Phase.done)
         self.assertEqual(next_tasks[2].failures, 1)
