Confirm commands after a silence by the reply to a later ping

Cause: any later frame was taken for proof that the entry still stands by a command, and the silence was measured from the frame before.

Change: pings are numbered. After a silence nothing on the connection is trusted until the reply to a ping that was sent afterwards; a start counts on the connection on which it came alone, and its wait ends with that connection. The test of a start after a silence sent any frame as the proof; it sends the reply now, and another test sends frames that are none.

Tests: TestCommandsAfterSilence: test_start_in_a_backlog_of_several_frames fails if the silence is measured from the last frame, as before.

--- a/src/poplardrum/dispatch/connections.py
+++ b/src/poplardrum/dispatch/connections.py
@@ -1,13 +1,14 @@
 """Connections between entries and agents, which carry frames of messages."""
 
 import asyncio
+import contextlib
 import logging
 import typing
 
 import msgspec
 
 from poplardrum import decoding, errors
-from poplardrum.dispatch import clocks, messages
+from poplardrum.dispatch import clocks, confirmation, messages, timing
 
 logger = logging.getLogger(__name__)
 
@@ -48,11 +49,10 @@
         # Returns a message to append to a frame that is being written.
         self.trailer: typing.Callable[[], messages.Message | None] | None = None
         self.closed = False
-        # Times are of `clocks.now`. `silence_before` is the time between the
-        # last two frames. A link is stale while a ping has no reply.
+        # Times are of `clocks.now`. A link is stale while a ping has no reply.
         self.last_received_at = clocks.now()
-        self.silence_before = 0.0
         self.pinged_at = 0.0
+        self.confirmation = confirmation.Confirmation()
         self.busy_since: float | None = None
         self.is_stale = False
         self.received = asyncio.Event()
@@ -95,6 +95,21 @@
         if transport.get_write_buffer_size() > MAX_FRAME_BYTES:
             self.abort()
 
+    def ping(self) -> None:
+        """Ask for a sign of life."""
+        self.pinged_at = clocks.now()
+        self.send(self.confirmation.next_ping())
+
+    async def confirm(self, timeout_s: float) -> bool:
+        """Return whether the peer is there now; ping it if that is in doubt."""
+        if self.confirmation.needs_ping():
+            self.ping()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not (self.closed or self.confirmation.is_given()):
+                    await self.received.wait()
+        return self.confirmation.is_given() and not self.closed
+
     def set_busy(self, busy: bool) -> None:
         """Record whether this side depends on the peer."""
         if not busy:
@@ -167,13 +182,23 @@
 
     def _record_frame(self, received: list[messages.AnyMessage]) -> None:
         now = clocks.now()
-        self.silence_before = now - self.last_received_at
+        if now - self.last_received_at > timing.CONFIRM_AFTER_S:
+            self.confirmation.record_silence()
         self.last_received_at = now
         self.is_stale = False
+        for message in received:
+            match message:
+                case messages.Ping():
+                    self.send(messages.Pong(message.number))
+                case messages.Pong():
+                    self.confirmation.record_pong(message)
+                case _:
+                    pass
+        self._wake_waiters()
+
+    def _wake_waiters(self) -> None:
         self.received.set()
         self.received.clear()
-        if any(isinstance(message, messages.Ping) for message in received):
-            self.send(messages.Pong())
 
     async def receive_hello(
         self, kind: type[HelloMessage], timeout_s: float
@@ -186,6 +211,8 @@
         received = await self.receive(timeout_s)
         if not received or not isinstance(received[0], kind):
             raise _link_lost('first message is not a hello')
+        # Nothing that a delay could make harmful precedes what follows it.
+        self.confirmation.reset()
         return received[0], received[1:]
 
     def abort(self) -> None:
@@ -193,6 +220,7 @@
         if not self.closed:
             self.closed = True
             self.writer.transport.abort()
+            self._wake_waiters()
 
 
 def _link_lost(message: str) -> errors.PoplardrumError:
--- a/src/poplardrum/dispatch/entry_sessions.py
+++ b/src/poplardrum/dispatch/entry_sessions.py
@@ -1,6 +1,5 @@
 """Sessions of entries at an agent."""
 
-import asyncio
 import collections
 import typing
 
@@ -61,24 +60,18 @@
         if self.link is not None:
             self.link.set_busy(self.active_runs > 0)
 
-    async def is_current(self) -> bool:
-        """Return whether the entry still stands by its last command.
+    async def is_current(self, link: connections.Link | None) -> bool:
+        """Return whether the entry still stands by a command from a link.
 
         A command that arrives after a silence may have been delayed while the
-        entry gave up this agent. Only a frame that was received after it, or
-        shortly before it, shows that the entry has not.
+        entry gave up this agent.
         """
-        link = self.link
-        if link is None:
-            return False
-        if link.silence_before > timing.CONFIRM_AFTER_S:
-            link.send(messages.Ping())
-            try:
-                async with asyncio.timeout(timing.LINK_TIMEOUT_S):
-                    await link.received.wait()
-            except TimeoutError:
-                return False
-        return self.is_connected()
+        return (
+            link is not None
+            and await link.confirm(timing.LINK_TIMEOUT_S)
+            and link is self.link
+            and self.is_connected()
+        )
 
     def is_connected(self) -> bool:
         """Return whether the entry was heard of within the link timeout.
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -9,6 +9,7 @@
     clocks,
     commands,
     completions,
+    connections,
     endpoint_runs,
     endpoint_status,
     entry_sessions,
@@ -111,7 +112,9 @@
                 request.checkpoints.get(run_id.task_index, ''),
             )
             self.runs.add(run)
-            self._spawn(self._start_run(run, request.specification))
+            self._spawn(
+                self._start_run(run, session.link, request.specification)
+            )
         for reason, runs in refused.items():
             session.send(messages.Refused(request.job, runs, reason))
             log_events.emit(
@@ -252,9 +255,12 @@
         task.add_done_callback(self.background_tasks.discard)
 
     async def _start_run(
-        self, run: endpoint_runs.Run, specification: str
+        self,
+        run: endpoint_runs.Run,
+        link: connections.Link | None,
+        specification: str,
     ) -> None:
-        if not await run.session.is_current():
+        if not await run.session.is_current(link):
             self._refuse(run, messages.Refusal.endpoint, 'entry not heard of')
             return
         refusal = await self.commands.start(self.endpoint, run, specification)
--- a/src/poplardrum/dispatch/keepalive.py
+++ b/src/poplardrum/dispatch/keepalive.py
@@ -16,7 +16,7 @@
 import contextlib
 import typing
 
-from poplardrum.dispatch import clocks, connections, messages, timing
+from poplardrum.dispatch import clocks, connections, timing
 
 
 class KeepAlive:
@@ -81,5 +81,4 @@
     if now - expected_since > tolerated:
         link.abort()
     elif min(silence, now - link.pinged_at) >= interval:
-        link.pinged_at = now
-        link.send(messages.Ping())
+        link.ping()
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -123,11 +123,15 @@
 
 
 class Ping(Message, frozen=True, tag=6):
-    """Request for a `Pong`, sent after a silence."""
+    """Request for a `Pong`, sent after a silence; `number` counts those of a link."""
+
+    number: int = 0
 
 
 class Pong(Message, frozen=True, tag=14):
-    """Reply to a `Ping`."""
+    """Reply to the `Ping` with the same number."""
+
+    number: int = 0
 
 
 class Refusal(enum.IntEnum):
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -1,6 +1,7 @@
 """Test fixture: an agent's executor and a fake endpoint without a network."""
 
 import asyncio
+import contextlib
 import random
 import typing
 
@@ -32,13 +33,20 @@
         self.closed = False
         self.is_stale = False
         self.is_busy = False
-        self.silence_before = 0.0
-        self.received = asyncio.Event()
+        self.is_confirmed = asyncio.Event()
+        self.is_confirmed.set()
 
     def send(self, message: messages.Message) -> None:
         """Record a message."""
         self.sent.append(message)
 
+    async def confirm(self, timeout_s: float) -> bool:
+        """Return whether the peer replies to a ping."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                await self.is_confirmed.wait()
+        return self.is_confirmed.is_set()
+
     @property
     def last_received_at(self) -> float:
         """Return the present time: the peer is always heard of."""
--- a/tests/test_dispatch_links.py
+++ b/tests/test_dispatch_links.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 import hypothesis
+import msgspec
 from hypothesis import strategies
 
 from poplardrum import ids
@@ -168,25 +169,64 @@
             lambda: self.world.endpoint.leased.started_runs
         )
 
+    async def receive(self, *sent: messages.Message) -> None:
+        """Let a frame of the entry arrive."""
+        body = msgspec.msgpack.encode(sent)
+        self.link.reader.feed_data(len(body).to_bytes(4, 'big') + body)
+        for message in await self.link.receive():
+            if isinstance(message, messages.StartTasks):
+                self.world.executor.start(self.world.session, message)
+
+    async def receive_start_after_silence(self) -> None:
+        """Let a start arrive after a silence."""
+        self.link.last_received_at -= timing.CONFIRM_AFTER_S + 0.1
+        await self.receive(
+            messages.StartTasks(
+                dispatch_world.JOB_ID,
+                'specification',
+                dispatch_world.DEMAND,
+                0.05,
+                [messages.RunId(0, 1)],
+            )
+        )
+
     async def test_start_after_a_silence_waits_for_the_entry(self) -> None:
         """Guards against a start that its entry gave up long ago."""
-        self.link.silence_before = timing.CONFIRM_AFTER_S + 0.1
-        self.world.start_tasks(1)
+        await self.receive_start_after_silence()
         await asyncio.sleep(0.1)
         self.assertEqual(self.world.endpoint.leased.started_runs, [])
-        self.link.last_received_at = clocks.now()
-        self.link.received.set()
+        await self.receive(messages.Pong(self.link.confirmation.pings_sent))
         await dispatch_world.wait_until(
             lambda: self.world.endpoint.leased.started_runs
         )
 
+    async def test_start_in_a_backlog_of_several_frames(self) -> None:
+        """Guards against starts that the entry has placed elsewhere.
+
+        After a freeze an agent read a backlog of over 64 KiB in several
+        parts. Each part counted as a sign of life after the one before.
+        """
+        await self.receive_start_after_silence()
+        await self.receive(messages.Ping(7), messages.Pong(0))
+        await self.receive(messages.Entries(1, []))
+        await dispatch_world.wait_until(lambda: not self.world.executor.runs)
+        self.assertEqual(self.world.endpoint.leased.started_runs, [])
+
     async def test_start_after_a_silence_without_reply(self) -> None:
         """Guards against a start for an entry that does not answer."""
-        self.link.silence_before = timing.CONFIRM_AFTER_S + 0.1
-        self.world.start_tasks(1)
+        await self.receive_start_after_silence()
         await dispatch_world.wait_until(lambda: not self.world.executor.runs)
         self.assertEqual(self.world.endpoint.leased.started_runs, [])
 
+    async def test_wait_ends_with_the_link(self) -> None:
+        """Guards against capacity that is held for an entry that is gone."""
+        await self.receive_start_after_silence()
+        await asyncio.sleep(0)
+        self.link.abort()
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(self.world.executor.runs.values(), [])
+
     async def test_start_after_a_pause_of_the_agent(self) -> None:
         """Guards against acting on a permission that has run out.
 
--- a/tests/test_run_identity.py
+++ b/tests/test_run_identity.py
@@ -1,8 +1,14 @@
 """Commands and outcomes that mean another run of a task than the current one."""
 
 import asyncio
-
-from poplardrum.dispatch import clocks, entry_sessions, messages
+import typing
+
+from poplardrum.dispatch import (
+    clocks,
+    connections,
+    entry_sessions,
+    messages,
+)
 from tests import dispatch_world, executor_case
 
 
@@ -13,10 +19,13 @@
 
     async def start_after_silence(self) -> None:
         """Send a start that waits for a sign of life of its entry."""
-        self.world.link.silence_before = 1.0
+        session, link = self.world.session, self.world.link
+        link.is_confirmed.clear()
         self.world.start_tasks(1, run=1)
         await asyncio.sleep(0)
-        self.world.link.silence_before = 0.0
+        self.silent_link = link
+        self.world.link = dispatch_world.FakeLink()
+        session.link = typing.cast(connections.Link, self.world.link)
 
     async def wait_for_background_tasks(self) -> None:
         """Wait until all starts and stops are over."""
@@ -48,7 +57,10 @@
         task_executor.lease.renewed_at = 0
         task_executor.expire_runs(clocks.now())
         self.assertEqual(self.world.outcomes(), [messages.Outcome.lost])
-        self.world.link.received.set()
+        self.world.session.link = typing.cast(
+            connections.Link, self.silent_link
+        )
+        self.silent_link.is_confirmed.set()
         await self.wait_for_background_tasks()
         self.assertEqual(self.world.endpoint.leased.started_runs, [])
 
