--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -231,7 +231,7 @@
         job_id: ids.JobId | None,
     ) -> web_response.Response:
         if request.method == 'GET' and request.path == route.prefix:
-            count = await self.stored_jobs.count_waiting(route.name)
+            count = await self.stored_jobs.waiting.count(route.name)
             return responses.json_response(job_api.encode_waiting_count(count))
         if job_id is None:
             raise errors.refusal(errors.Code.unknown_job, 'no such job')
--- a/src/poplardrum/dispatch/stored_job_services.py
+++ b/src/poplardrum/dispatch/stored_job_services.py
@@ -11,6 +11,7 @@
     record_writer,
     stored_jobs,
     takeover,
+    waiting_jobs,
 )
 from poplardrum.platform import settings_file, store
 
@@ -49,8 +50,9 @@
         self.stored_jobs = stored_jobs.StoredJobs(
             record_store,
             self.ownership,
-            owner_tracker,
-            config.node,
+            waiting_jobs.WaitingJobs(
+                record_store, self.ownership, owner_tracker
+            ),
             config.states_kept,
         )
 
@@ -69,6 +71,6 @@
             ('takeover', self.takeover.run),
             ('unclaimed jobs', self.takeover.look_up_unclaimed),
             ('cancellations', self.stored_jobs.poll_cancels),
-            ('job counts', self.stored_jobs.publish_counts),
+            ('job counts', self.stored_jobs.waiting.publish),
             ('expired records', self.stored_jobs.remove_expired_records),
         ]
--- a/src/poplardrum/dispatch/stored_jobs.py
+++ b/src/poplardrum/dispatch/stored_jobs.py
@@ -1,19 +1,17 @@
-"""Requests about stored jobs: submit, query, cancel and count."""
+"""Requests about stored jobs: submit, query and cancel."""
 
 import asyncio
-import collections
 import logging
 import typing
 
-import msgspec
-
-from poplardrum import decoding, errors, ids, log_events
+from poplardrum import errors, ids, log_events
 from poplardrum.dispatch import (
     clocks,
     ownership,
     record_writer,
     records,
     takeover,
+    waiting_jobs,
 )
 from poplardrum.platform import store
 
@@ -23,19 +21,11 @@
 _MAX_STORE_WAIT_S: typing.Final = 2.0
 _MAX_OWNED_JOBS: typing.Final = 2000
 _CANCELS_POLL_INTERVAL_S: typing.Final = 0.5
-_COUNTS_INTERVAL_S: typing.Final = 0.7
 _REMOVAL_INTERVAL_S: typing.Final = 5.0
 _MAX_REMOVALS_PER_COMMIT: typing.Final = 30
 _RETRY_AFTER_S: typing.Final = 1.0
 
 
-class WaitingCounts(msgspec.Struct, frozen=True, array_like=True):
-    """Number of jobs of one entry that have not started yet, by queue."""
-
-    owner: ids.Incarnation
-    waiting: dict[str, decoding.Amount]
-
-
 class StoredJobs:
     """Handle requests about stored jobs, whichever entry owns them."""
 
@@ -43,20 +33,15 @@
         self,
         record_store: store.RecordStore,
         job_ownership: ownership.Ownership,
-        owner_tracker: takeover.OwnerTracker,
-        node: str,
+        waiting: waiting_jobs.WaitingJobs,
         retention_s: float,
     ) -> None:
         """Retain the records of finished jobs for `retention_s` seconds."""
         self.store = record_store
         self.ownership = job_ownership
-        self.owner_tracker = owner_tracker
-        self.node = node
+        self.waiting = waiting
         self.retention_s = retention_s
         self.creations: dict[ids.JobId, asyncio.Task[None]] = {}
-        self.published_counts: dict[str, int] = {}
-        self.other_counts: list[WaitingCounts] = []
-        self.other_counts_read_at = 0.0
 
     async def submit(
         self,
@@ -121,25 +106,6 @@
             cancel_request = store.Change(records.CANCELS_PREFIX + job, b'1')
             await self.store.commit([cancel_request])
 
-    async def count_waiting(self, queue: str) -> int:
-        """Return how many stored jobs of a queue have not started yet."""
-        now = clocks.now()
-        if now - self.other_counts_read_at > _COUNTS_INTERVAL_S:
-            stored_values = await self.store.list(records.WAITING_PREFIX)
-            self.other_counts = [
-                counts
-                for counts in map(_decode_counts, stored_values)
-                if counts is not None
-            ]
-            self.other_counts_read_at = now
-        announced = self.owner_tracker.announced()
-        return self._count_own_waiting()[queue] + sum(
-            counts.waiting.get(queue, 0)
-            for counts in self.other_counts
-            if counts.owner in announced
-            and counts.owner != self.ownership.incarnation
-        )
-
     async def poll_cancels(self) -> None:
         """Cancel own jobs whose cancel requests other entries received."""
         while True:
@@ -156,25 +122,6 @@
                     ids.JobId(item.key.removeprefix(records.CANCELS_PREFIX))
                 )
 
-    async def publish_counts(self) -> None:
-        """Publish the number of waiting jobs to other entries."""
-        while True:
-            await asyncio.sleep(_COUNTS_INTERVAL_S)
-            counts = dict(self._count_own_waiting())
-            if counts == self.published_counts:
-                continue
-            content = msgspec.json.encode(
-                WaitingCounts(self.ownership.incarnation, counts),
-            )
-            key = records.WAITING_PREFIX + self.node
-            try:
-                await self.store.commit([store.Change(key, content)])
-            except errors.PoplardrumError:
-                # Outdated counts do no harm, and `RouteTable` logs that the
-                # store is unreachable.
-                continue
-            self.published_counts = counts
-
     async def remove_expired_records(self) -> None:
         """Remove records of finished jobs after the retention time."""
         while True:
@@ -235,20 +182,6 @@
             raise errors.refusal(errors.Code.unknown_job, 'no such job')
         return record
 
-    def _count_own_waiting(self) -> collections.Counter[str]:
-        return collections.Counter(
-            owned.job.queue
-            for owned in self.ownership.owned_jobs.values()
-            if not owned.job.started
-        )
-
 
 def _unavailable(message: str) -> errors.PoplardrumError:
     return errors.refusal(errors.Code.unavailable, message, _RETRY_AFTER_S)
-
-
-def _decode_counts(item: store.StoredValue) -> WaitingCounts | None:
-    try:
-        return decoding.decode_json(item.value, WaitingCounts)
-    except ValueError:
-        return None
--- a/tests/stored_world.py
+++ b/tests/stored_world.py
@@ -20,6 +20,7 @@
     record_writer,
     records,
     takeover,
+    waiting_jobs,
 )
 from poplardrum.platform import store
 from tests import dispatch_world
@@ -146,6 +147,9 @@
         self.takeover = takeover.Takeover(
             memory_store, self.ownership, self.owner_tracker
         )
+        self.waiting = waiting_jobs.WaitingJobs(
+            memory_store, self.ownership, self.owner_tracker
+        )
         self.writer_task = asyncio.ensure_future(self.writer.run())
 
     async def close(self) -> None:
--- a/tests/test_stored_jobs.py
+++ b/tests/test_stored_jobs.py
@@ -222,8 +222,7 @@
         self.requests = stored_jobs.StoredJobs(
             self.store,
             self.entry.ownership,
-            self.entry.owner_tracker,
-            'node-a',
+            self.entry.waiting,
             0.0,
         )
 
@@ -275,8 +274,7 @@
         other_requests = stored_jobs.StoredJobs(
             self.store,
             other.ownership,
-            other.owner_tracker,
-            'node-b',
+            other.waiting,
             0.0,
         )
         self.assertEqual(await other_requests.state(JOB_ID), 'queued')
