Hear returning agents before stored tasks start elsewhere

Change: a stored task at an agent without a link starts elsewhere only if some other agent has been linked for 2 s; until then its own agent may come back and report. A scan for takeovers waits for the same. Jobs that need not be kept start again as before.

Tests: test_lost_agents: the task of an agent that comes back second starts again without the change; that of one that does not come back is not held for ever.

Not covered, as before: an agent that is cut off from the owner alone (decisions/stored-jobs.md).

--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -6,6 +6,7 @@
 
 from poplardrum import errors, ids, log_events
 from poplardrum.dispatch import (
+    clocks,
     fleet,
     job_placer,
     jobs,
@@ -96,13 +97,7 @@
         at the same time. A timer of an earlier loss does not count.
         """
         agent.losses += 1
-        loop = asyncio.get_running_loop()
-        loop.call_later(
-            timing.LOST_AGENT_TIMEOUT_S,
-            self._expire_agent,
-            agent,
-            agent.losses,
-        )
+        self._call_expiry(agent, timing.LOST_AGENT_TIMEOUT_S)
 
     def handle_message(
         self, agent: fleet.Agent, message: messages.AnyMessage
@@ -135,8 +130,7 @@
         if load.accepting and len(self.incarnations[agent.node]) > 1:
             for incarnation in list(self.incarnations[agent.node]):
                 if incarnation != agent.incarnation:
-                    other = self.agents[incarnation]
-                    self._expire_agent(other, other.losses)
+                    self._remove_agent(self.agents[incarnation])
         if agent.is_usable() and agent.free.cpu_millicores > had_cpu:
             self.placer.schedule()
 
@@ -282,9 +276,27 @@
             return None
         return job, task
 
+    def _call_expiry(self, agent: fleet.Agent, delay: float) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay, self._expire_agent, agent, agent.losses)
+
     def _expire_agent(self, agent: fleet.Agent, loss: int) -> None:
         if agent.link is not None or agent.losses != loss:
             return
+        if fleet.has_settled_links(self.agents.values(), clocks.now()):
+            self._remove_agent(agent)
+            return
+        # Stored jobs wait for what the agent has to report. Others need not.
+        for job, task in jobs.tasks_at(self.jobs, agent):
+            if job.owner is None:
+                self._requeue(job, task)
+                task.avoided_nodes.add(agent.node)
+        self.placer.schedule()
+        self._call_expiry(agent, timing.RELINK_TIMEOUT_S)
+
+    def _remove_agent(self, agent: fleet.Agent) -> None:
+        if agent.link is not None:
+            return
         if self.agents.pop(agent.incarnation, None) is None:
             return
         self.incarnations[agent.node].discard(agent.incarnation)
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -5,7 +5,7 @@
 import typing
 
 from poplardrum import ids
-from poplardrum.dispatch import connections, messages
+from poplardrum.dispatch import clocks, connections, messages, timing
 
 _NO_RESOURCES: typing.Final = messages.Resources(0, 0, 0)
 
@@ -35,6 +35,7 @@
     starts_sent: int = 0
     # How often its link was lost.
     losses: int = 0
+    linked_at: float = 0.0
     # Tasks that are placed here, by job and index.
     placed: set[TaskKey] = dataclasses.field(default_factory=set)
     in_flight: collections.deque[tuple[int, messages.Resources]] = (
@@ -111,6 +112,7 @@
     def on_connected(self, link: connections.Link) -> None:
         """Use a new connection, on which no tasks have been sent yet."""
         self.link = link
+        self.linked_at = clocks.now()
         link.set_busy(bool(self.placed))
         self.starts_sent = 0
         self.in_flight.clear()
@@ -124,6 +126,20 @@
         self.on_change(self)
 
 
+def has_settled_links(agents: typing.Iterable[Agent], now: float) -> bool:
+    """Return whether agents without a link are not just yet to come back.
+
+    After a cut of this host they link again one by one, and those that have
+    completions to report may be later than others that have room. `now` is a
+    time of `clocks.now`.
+    """
+    return any(
+        agent.link is not None
+        and now - agent.linked_at >= timing.RELINK_TIMEOUT_S
+        for agent in agents
+    )
+
+
 def _count_fitting(available: int, demanded: int) -> int:
     return (
         max(available // demanded, 0)
--- a/src/poplardrum/dispatch/takeover.py
+++ b/src/poplardrum/dispatch/takeover.py
@@ -11,6 +11,7 @@
 from poplardrum import errors, ids, log_events
 from poplardrum.dispatch import (
     clocks,
+    fleet,
     jobs,
     membership,
     ownership,
@@ -129,7 +130,7 @@
             await asyncio.sleep(
                 _SCAN_INTERVAL_S * self.random.uniform(0.7, 1.3)
             )
-            if not self.ownership.can_own_jobs():
+            if not self._may_scan():
                 continue
             try:
                 await self.scan()
@@ -141,6 +142,16 @@
                     why=error.message,
                 )
 
+    def _may_scan(self) -> bool:
+        """Return whether this entry can run jobs that it takes over.
+
+        Its agents must have had the time to report what has completed there.
+        """
+        agents = self.ownership.coordinator.agents.values()
+        return self.ownership.can_own_jobs() and fleet.has_settled_links(
+            agents, clocks.now()
+        )
+
     async def look_up_unclaimed(self) -> None:
         """Read the records of jobs with unclaimed completions, until cancelled.
 
--- a/src/poplardrum/dispatch/timing.py
+++ b/src/poplardrum/dispatch/timing.py
@@ -84,6 +84,8 @@
     + TOTAL_STOP_TIMEOUT_S
     + max_lease_duration(LEASE_S)
 )
+# Agents that can be reached link again within this time after a cut has ended.
+RELINK_TIMEOUT_S: typing.Final = 2.0
 # When the announcement of an entry has been missing for this long, its stored
 # jobs have certainly been stopped, also at agents that it cannot reach.
 TAKEOVER_TIMEOUT_S: typing.Final = (
