Take an unclear reply to a write for one that may have been done

Change: only 400, 403, 429 and 503 count as not done.

Test: test_platform_users.TestStatuses, 500, 502 and 504 fail without the change.

--- a/src/poplardrum/platform/kv.py
+++ b/src/poplardrum/platform/kv.py
@@ -14,6 +14,9 @@
 _HTTP_NOT_FOUND: typing.Final = 404
 _HTTP_GONE: typing.Final = 410
 _HTTP_PRECONDITION_FAILED: typing.Final = 412
+# Replies after which a write has certainly not been carried out. One of a
+# gateway, for instance, does not tell.
+_STATUSES_WITHOUT_EFFECT: typing.Final = frozenset((400, 403, 429, 503))
 _MS_PER_S: typing.Final = 1000
 # Added to the wait of a watch for its reply to arrive.
 _WATCH_MARGIN_S: typing.Final = 0.5
@@ -288,7 +291,8 @@
         }:
             raise store.platform_error(
                 f'platform: {method} {path}: status {response.status}',
-                may_have_written=False,
+                may_have_written=is_write
+                and response.status not in _STATUSES_WITHOUT_EFFECT,
             )
         return response.status, reply
 
--- a/tests/test_platform_users.py
+++ b/tests/test_platform_users.py
@@ -235,6 +235,42 @@
                 self.assertIs(caught.exception.verdict, verdict)
 
 
+class TestStatuses(unittest.IsolatedAsyncioTestCase):
+    """Replies of the store, or of something in front of it, to a write."""
+
+    async def verdict_of(self, status: int) -> errors.Verdict:
+        """Return the verdict on a write that is replied to with a status."""
+
+        async def reply(_: web.Request) -> web.Response:
+            return web.Response(status=status)
+
+        application = web.Application()
+        application.router.add_post('/kv-txn', reply)
+        address = ('127.0.0.1', ports.free_ports(1)[0])
+        runner = web.AppRunner(application, shutdown_timeout=0.1)
+        await runner.setup()
+        self.addAsyncCleanup(runner.cleanup)
+        await web.TCPSite(runner, *address).start()
+        kv_store = kv.KvStore(address, 5)
+        self.addAsyncCleanup(kv_store.close)
+        with self.assertRaises(errors.PoplardrumError) as caught:
+            await kv_store.write('a', b'1')
+        return caught.exception.verdict
+
+    async def test_statuses(self) -> None:
+        """Guards against a write taken for not done on an unclear reply."""
+        for status in (400, 403, 429, 503):
+            with self.subTest(status=status):
+                self.assertIs(
+                    await self.verdict_of(status), errors.Verdict.not_run
+                )
+        for status in (500, 502, 504):
+            with self.subTest(status=status):
+                self.assertIs(
+                    await self.verdict_of(status), errors.Verdict.may_have_run
+                )
+
+
 class TestMembership(unittest.TestCase):
     """Entries that are registered in the store."""
 
