Soak stored jobs with failing tasks, long runs, a label and long faults

Change: of the stored jobs some fail once, take 0.9 s, or need the one endpoint with a label; a second injector pauses hosts for 2 to 4 s, loses replies to takeovers and stops the store, with a generator of its own. The ledger checks that no task has started after a run that is done and acknowledged later, unless the lease lapsed between.

--- a/src/poplardrum/standins/leased_endpoint.py
+++ b/src/poplardrum/standins/leased_endpoint.py
@@ -81,10 +81,10 @@
         """Complete the runs that are over; all if the lease has expired."""
         if self.running and now >= self.lease_expires_at:
             for run_id in list(self.running):
-                self._complete_run(run_id, 'lapsed')
+                self.complete_run(run_id, 'lapsed')
         for run_id, run in list(self.running.items()):
             if run.ends_at <= now and not run.hangs:
-                self._complete_run(run_id, 'done' if run.succeeds else 'failed')
+                self.complete_run(run_id, 'done' if run.succeeds else 'failed')
 
     def start(
         self,
@@ -126,7 +126,7 @@
         latest = self.latest_run.get(run_id.task, 0)
         self.latest_run[run_id.task] = max(latest, run_id.run)
         if run_id in self.running:
-            self._complete_run(run_id, 'stopped')
+            self.complete_run(run_id, 'stopped')
         return True
 
     def renew_and_acknowledge(
@@ -172,7 +172,8 @@
         self.fencing_token = token
         return True
 
-    def _complete_run(self, run_id: RunId, outcome: str) -> None:
+    def complete_run(self, run_id: RunId, outcome: str) -> None:
+        """End a run and list its completion."""
         self.running.pop(run_id)
         if outcome == 'done':
             self.done_tasks.append(run_id.task)
--- a/src/poplardrum/standins/worker.py
+++ b/src/poplardrum/standins/worker.py
@@ -48,6 +48,7 @@
         self.started_at_ms = int(time.time() * _MS_PER_S)
         self.state = 'ready'
         self.sequence = 0
+        self.labels: list[str] = []
         self.specifications: set[str] = set()
         # Share of the requests that are carried out but get no reply, and of
         # those that are carried out seconds later and get none.
@@ -129,6 +130,7 @@
                 'Cpu': self.profile.cpu_millicores,
                 'RequestedMemoryMb': 65536,
             },
+            'Labels': self.labels,
             'ClockMs': self._clock_ms(),
             'born': self.started_at_ms,
         }
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -46,6 +46,7 @@
                 _MAX_LEASE_S,
             )
             stand_in.random = random.Random(self.random.random())
+        self.site.workers[0].labels = [callers.LABEL]
         self.site.store.rewrite = _through_proxy
         self.proxies = [
             proxy.Proxy(
@@ -74,6 +75,9 @@
             self.ledger,
             self.random,
         )
+        self.long_faults = faults.LongFaultInjector(
+            self.faults, random.Random(seed)
+        )
 
     async def run(self, seconds: float, keep: pathlib.Path | None) -> int:
         """Inject faults for `seconds` and return the number of violations.
@@ -90,6 +94,7 @@
             stop_at = time.monotonic() + seconds
             await asyncio.gather(
                 self.faults.run(stop_at),
+                self.long_faults.run(stop_at),
                 self._write_configurations(stop_at),
                 *(each.run(stop_at + _FAULT_FREE_S) for each in self.callers),
             )
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -16,6 +16,13 @@
 _MAX_ATTEMPTS: typing.Final = 4
 _MAX_TASKS: typing.Final = 5
 _STORED_SHARE: typing.Final = 0.3
+# Of the stored jobs: those whose tasks fail once, those that need the one
+# endpoint with a label, and those that run longer than a link may be silent.
+_FAILING_SHARE: typing.Final = 0.2
+_LABELLED_SHARE: typing.Final = 0.2
+_LONG_SHARE: typing.Final = 0.3
+_LONG_RUN_S: typing.Final = 0.9
+LABEL: typing.Final = 'b'
 _NO_REPLY: typing.Final = 0
 _RETRIED_STATUSES: typing.Final = frozenset((_NO_REPLY, 502, 504))
 
@@ -35,6 +42,9 @@
         self.site = local_site
         self.ledger = ledger
         self.random = rng
+        # Apart from `rng`, so that its seeds stand for what they stood for.
+        self.traits = random.Random(index)
+        self.labelled_jobs: set[str] = set()
         self.served_jobs = 0
 
     async def run(self, stop_at: float) -> None:
@@ -73,6 +83,8 @@
         self.ledger.submitted_jobs.add(job)
         tasks = self.random.randint(1, _MAX_TASKS)
         stored = self.random.random() < _STORED_SHARE
+        if stored:
+            self._choose_traits(job)
         for _ in range(_MAX_ATTEMPTS):
             entry = self.random.randrange(len(self.site.entries))
             status = await self._submit(client, entry, job, tasks, stored)
@@ -85,6 +97,15 @@
                 return
             await asyncio.sleep(_RESUBMIT_INTERVAL_S)
 
+    def _choose_traits(self, job: str) -> None:
+        self.ledger.kept_jobs.add(job)
+        if self.traits.random() < _FAILING_SHARE:
+            self.ledger.failing_jobs.add(job)
+        if self.traits.random() < _LONG_SHARE:
+            self.ledger.run_durations[job] = _LONG_RUN_S
+        if self.traits.random() < _LABELLED_SHARE:
+            self.labelled_jobs.add(job)
+
     async def _submit(
         self,
         client: aiohttp.ClientSession,
@@ -100,10 +121,16 @@
         try:
             async with client.post(
                 self.site.url(entry, f'/jobs/{job}'),
-                json=site.submission(tasks, job) | {'BestEffort': not stored},
+                json=self._body(job, tasks, stored),
                 headers=headers,
             ) as response:
                 await response.read()
                 return response.status
         except (aiohttp.ClientError, TimeoutError):
             return _NO_REPLY
+
+    def _body(self, job: str, tasks: int, stored: bool) -> dict[str, object]:
+        body = site.submission(tasks, job)
+        if job in self.labelled_jobs:
+            body['Steps'][0]['Requirements'] = LABEL
+        return body | {'BestEffort': not stored}
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -26,6 +26,12 @@
         # acknowledged.
         self.acknowledged_tasks: set[str] = set()
         self.finished_tasks: set[str] = set()
+        # Jobs that are to be stored, whether or not the caller heard that they
+        # are; how long their runs take, and those whose tasks all fail once.
+        self.kept_jobs: set[str] = set()
+        self.run_durations: dict[str, float] = {}
+        self.failing_jobs: set[str] = set()
+        self.failed_tasks: set[str] = set()
         self.endpoints: list[WatchedEndpoint] = []
         self.started_at = time.monotonic()
 
@@ -59,6 +65,7 @@
             )
         for other in self.endpoints:
             other.advance(now)
+            other.note_restart(run_id)
             same_task_runs = sum(
                 run.task == run_id.task for run in other.running
             )
@@ -101,8 +108,53 @@
         self.ledger = ledger
         self.capacity_tasks = capacity_tasks
         self.drain_deadline = float('inf')
+        self.lapsed_at = 0.0
+        # By the id of a completion of a run that is done: when it ended, and
+        # the run of the same task that started after it.
+        self.done_at: dict[int, float] = {}
+        self.restarts: dict[int, leased_endpoint.RunId] = {}
         ledger.endpoints.append(self)
 
+    def extend_lease(self, now: float, lease_until: float) -> None:
+        """Extend the lease; note when it had lapsed before."""
+        if self.lease_expires_at <= now:
+            self.lapsed_at = self.lease_expires_at
+        super().extend_lease(now, lease_until)
+
+    def complete_run(self, run_id: leased_endpoint.RunId, outcome: str) -> None:
+        """End a run; note when it was done, and tasks that have failed."""
+        super().complete_run(run_id, outcome)
+        if outcome == 'done':
+            self.done_at[self.last_completion_id] = time.monotonic()
+        elif outcome == 'failed':
+            self.ledger.failed_tasks.add(run_id.task)
+
+    def note_restart(self, run_id: leased_endpoint.RunId) -> None:
+        """Note a start of a stored job's task of which a run is done here."""
+        if run_id.task.partition('.')[0] not in self.ledger.kept_jobs:
+            return
+        for completion in self.completions:
+            if completion.outcome == 'done' and (
+                completion.run_id.task == run_id.task
+            ):
+                self.restarts[completion.completion_id] = run_id
+
+    def check_restarts(self) -> None:
+        """Check that no task had started again after an acknowledged run.
+
+        The run counts unless the lease lapsed before the acknowledgement.
+        """
+        now = time.monotonic()
+        for completion_id, run_id in list(self.restarts.items()):
+            if completion_id > self.acknowledged_id:
+                continue
+            self.restarts.pop(completion_id)
+            done_at = self.done_at[completion_id]
+            if self.lapsed_at < done_at and self.lease_expires_at > now:
+                self.ledger.record_violation(
+                    'start after a run that is done', str(run_id)
+                )
+
     def advance(self, now: float) -> None:
         """Complete the runs that are over and record their tasks."""
         super().advance(now)
@@ -117,6 +169,7 @@
 
         Only tasks of stored jobs are recorded.
         """
+        self.check_restarts()
         self.ledger.acknowledged_tasks |= {
             end.run_id.task
             for end in self.completions
@@ -137,6 +190,14 @@
     ) -> leased_endpoint.StartResult:
         """Start a run; check it if it is accepted and new."""
         known = run_id in self.running
+        job = run_id.task.partition('.')[0]
+        run.ends_at = now + self.ledger.run_durations.get(
+            job, run.ends_at - now
+        )
+        run.succeeds = (
+            job not in self.ledger.failing_jobs
+            or run_id.task in self.ledger.failed_tasks
+        )
         result = super().start(
             run_id, run, now=now, lease_until=lease_until, token=token
         )
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -170,6 +170,68 @@
             host.start(self.site.folder)
 
 
+class LongFaultInjector:
+    """Inject faults that last as long as it takes to replace an owner.
+
+    It has a generator of its own, so that the seeds of the other faults stand
+    for what they stood for.
+    """
+
+    def __init__(self, injector: FaultInjector, rng: random.Random) -> None:
+        """Inject into the site of another injector, and log there."""
+        self.injector = injector
+        self.site = injector.site
+        self.random = rng
+        self.kinds: list[Fault] = [
+            self.pause_agent,
+            self.pause_entry,
+            self.lose_replies_to_takeovers,
+            self.stop_store,
+        ]
+
+    async def run(self, stop_at: float) -> None:
+        """Inject one fault after another until `stop_at`."""
+        while time.monotonic() < stop_at:
+            await asyncio.sleep(self.random.uniform(0.5, 2))
+            fault = self.random.choice(self.kinds)
+            self.injector.record(fault.__name__)
+            await fault()
+
+    async def pause_agent(self) -> None:
+        """Pause the agent of the endpoint with a label, or another one."""
+        await self._pause(self.random.choice(self.site.agents[:2]))
+
+    async def pause_entry(self) -> None:
+        """Pause an entry."""
+        await self._pause(self.random.choice(self.site.entries))
+
+    async def lose_replies_to_takeovers(self) -> None:
+        """Kill an entry, and lose replies when others take its jobs over."""
+        host = self.random.choice(self.site.entries)
+        self.injector.record(host.settings['NodeName'])
+        host.send_signal(signal.SIGKILL)
+        await asyncio.sleep(0.5)
+        if not host.is_alive():
+            host.start(self.site.folder)
+        await asyncio.sleep(self.random.uniform(1.5, 3))
+        await self._break_store(kv.Fault.reply_lost)
+
+    async def stop_store(self) -> None:
+        """Let the store stand still for as long as completions need."""
+        await self._break_store(kv.Fault.no_reply)
+
+    async def _break_store(self, fault: kv.Fault) -> None:
+        self.site.store.fault = fault
+        await asyncio.sleep(self.random.uniform(2, 4.5))
+        self.site.store.fault = kv.Fault.none
+
+    async def _pause(self, host: site.Host) -> None:
+        self.injector.record(host.settings['NodeName'])
+        host.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(2, 4))
+        host.send_signal(signal.SIGCONT)
+
+
 async def _inject(fault: Fault) -> None:
     await fault()
 
