Let failing tasks of the soak wait for room

A repetition of a completion harms only while its task waits: jobs with failing tasks need the one endpoint with a label, which is shared with others.

--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -16,10 +16,11 @@
 _MAX_ATTEMPTS: typing.Final = 4
 _MAX_TASKS: typing.Final = 5
 _STORED_SHARE: typing.Final = 0.3
-# Of the stored jobs: those whose tasks fail once, those that need the one
-# endpoint with a label, and those that run longer than a link may be silent.
-_FAILING_SHARE: typing.Final = 0.2
-_LABELLED_SHARE: typing.Final = 0.2
+# Of the stored jobs: those that need the one endpoint with a label, so that its
+# tasks wait for room; of these, those whose tasks fail once; and of all stored
+# jobs those that run longer than a link may be silent.
+_LABELLED_SHARE: typing.Final = 0.25
+_FAILING_SHARE: typing.Final = 0.5
 _LONG_SHARE: typing.Final = 0.3
 _LONG_RUN_S: typing.Final = 0.9
 LABEL: typing.Final = 'b'
@@ -99,12 +100,13 @@
 
     def _choose_traits(self, job: str) -> None:
         self.ledger.kept_jobs.add(job)
-        if self.traits.random() < _FAILING_SHARE:
-            self.ledger.failing_jobs.add(job)
         if self.traits.random() < _LONG_SHARE:
             self.ledger.run_durations[job] = _LONG_RUN_S
-        if self.traits.random() < _LABELLED_SHARE:
-            self.labelled_jobs.add(job)
+        if self.traits.random() >= _LABELLED_SHARE:
+            return
+        self.labelled_jobs.add(job)
+        if self.traits.random() < _FAILING_SHARE:
+            self.ledger.failing_jobs.add(job)
 
     async def _submit(
         self,
