--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -188,7 +188,8 @@
 class UnackedCompletion(Message, frozen=True, tag=12):
     """A retained completion that has not been acknowledged for a while.
 
-    It is sent to the entry of the run, or to all entries if that is gone.
+    It is sent to the entry of the run, or to all entries if that is gone or does
+    not acknowledge it.
     """
 
     job: ids.JobId
