Log what callers, stops and pauses did to the runs of a job

The record of the task that ran twice has no line on when a caller's connection ended, on when an agent received a start and a stop, or on whether a process stood still, so it does not tell the hypotheses of docs/incidents/request-read-late.md apart.

Entries log 'caller gone' (time since the request was read and since the last start, agents whose runs are stopped) and count it among the replies; agents log 'tasks received' with whether the command is in doubt, and 'stop received' with the state of the run; both log 'process stood still' when a check of the links is late by over 0.25 s.

--- a/src/poplardrum/dispatch/endpoint_runs.py
+++ b/src/poplardrum/dispatch/endpoint_runs.py
@@ -5,7 +5,12 @@
 import typing
 
 from poplardrum import ids
-from poplardrum.dispatch import entry_sessions, messages, stragglers
+from poplardrum.dispatch import (
+    connections,
+    entry_sessions,
+    messages,
+    stragglers,
+)
 from poplardrum.platform import endpoints, job_api
 
 _TASK_NAME_PARTS: typing.Final = 4
@@ -30,7 +35,8 @@
     """A run for which capacity of the endpoint is reserved.
 
     Reports that are requested at `listed_from` or later list the run if it is
-    at the endpoint. `fencing_token` is that of its last start request.
+    at the endpoint. `link` is the connection on which the command to start it
+    came. `fencing_token` is that of its last start request.
     `straggler_reported_at` is when its entry was last notified that the run is
     a straggler.
     """
@@ -44,6 +50,7 @@
     first_index: int = 0
     stored: bool = False
     checkpoint: str = ''
+    link: connections.Link | None = None
     state: RunState = RunState.starting
     stopping: bool = False
     fencing_token: int = 0
--- a/src/poplardrum/dispatch/entry_sessions.py
+++ b/src/poplardrum/dispatch/entry_sessions.py
@@ -73,6 +73,10 @@
             and self.is_connected()
         )
 
+    def is_in_doubt(self) -> bool:
+        """Return whether its next command has to be confirmed first."""
+        return self.link is None or not self.link.confirmation.is_given()
+
     def is_connected(self) -> bool:
         """Return whether the entry was heard of within the link timeout.
 
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -9,7 +9,6 @@
     clocks,
     commands,
     completions,
-    connections,
     endpoint_runs,
     endpoint_status,
     entry_sessions,
@@ -17,6 +16,7 @@
     messages,
     metrics,
     monitor,
+    run_events,
     run_table,
 )
 from poplardrum.platform import endpoints
@@ -95,6 +95,7 @@
     ) -> None:
         """Start the runs that fit; refuse the others at once."""
         refused: dict[messages.Refusal, list[messages.RunId]] = {}
+        run_events.log_tasks_received(session, request)
         for run_id in request.runs:
             reason = self._refusal_reason(session, request, run_id)
             if reason is not None:
@@ -110,20 +111,13 @@
                 request.first_index,
                 request.stored,
                 request.checkpoints.get(run_id.task_index, ''),
+                session.link,
             )
             self.runs.add(run)
-            self._spawn(
-                self._start_run(run, session.link, request.specification)
-            )
+            self._spawn(self._start_run(run, request.specification))
         for reason, runs in refused.items():
             session.send(messages.Refused(request.job, runs, reason))
-            log_events.emit(
-                logger,
-                'task refused',
-                job=request.job,
-                reason=reason.name,
-                tasks=len(runs),
-            )
+            run_events.log_tasks_refused(request.job, reason, len(runs))
         self.request_report()
 
     def stop(
@@ -132,6 +126,7 @@
         """Stop runs of an entry; those that are not tracked are over."""
         for run_id in request.runs:
             run = self.runs.find(session, request.job, run_id)
+            run_events.log_stop_received(session, request.job, run_id, run)
             if run is not None:
                 self.stop_run(run)
 
@@ -163,14 +158,7 @@
             self._handle_endpoint_restart(heartbeat.born, heartbeat.clock_ms)
         self.status.observe(heartbeat)
         if previous is None or previous.state != heartbeat.state:
-            log_events.emit(
-                logger,
-                'endpoint state changed',
-                state=heartbeat.state,
-                born=heartbeat.born,
-                labels=heartbeat.labels,
-                cpu=heartbeat.capacity.cpu_millicores,
-            )
+            run_events.log_endpoint_state(heartbeat)
         self.lease.observe_clock(heartbeat.clock_ms, clocks.now())
         self.request_report()
 
@@ -257,10 +245,9 @@
     async def _start_run(
         self,
         run: endpoint_runs.Run,
-        link: connections.Link | None,
         specification: str,
     ) -> None:
-        if not await run.session.is_current(link):
+        if not await run.session.is_current(run.link):
             self._refuse(run, messages.Refusal.endpoint, 'entry not heard of')
             return
         refusal = await self.commands.start(self.endpoint, run, specification)
@@ -373,15 +360,7 @@
             ),
         )
         if outcome is not messages.Outcome.done:
-            log_events.emit(
-                logger,
-                'run ended',
-                job=completed_run.job,
-                task=completed_run.id.task_index,
-                run=completed_run.id.number,
-                outcome=outcome.name,
-                reason=reason,
-            )
+            run_events.log_run_ended(completed_run, outcome, reason)
 
     def _refuse(
         self,
@@ -394,13 +373,7 @@
         self.status_changed.set()
         self.metrics.increment('starts_refused', reason.name)
         run.session.send(messages.Refused(run.job, [run.id], reason))
-        log_events.emit(
-            logger,
-            'start refused',
-            job=run.job,
-            task=run.id.task_index,
-            reason=details,
-        )
+        run_events.log_start_refused(run, details)
 
 
 def _ignore_completion(message: messages.UnackedCompletion) -> None:
--- a/src/poplardrum/dispatch/keepalive.py
+++ b/src/poplardrum/dispatch/keepalive.py
@@ -14,10 +14,17 @@
 
 import asyncio
 import contextlib
+import logging
 import typing
 
+from poplardrum import log_events
 from poplardrum.dispatch import clocks, connections, timing
 
+logger = logging.getLogger(__name__)
+
+# A check that is later than this is logged: the process stood still.
+_STALL_S: typing.Final = 0.25
+
 
 class KeepAlive:
     """Ping silent links of a process and abort those that stay silent."""
@@ -44,12 +51,22 @@
         """Check all links until cancelled."""
         while True:
             is_busy = any(link.busy_since is not None for link in self.links)
-            await asyncio.sleep(
+            interval = (
                 timing.LINK_CHECK_INTERVAL_S
                 if is_busy
                 else timing.IDLE_CHECK_INTERVAL_S
             )
-            self.check(clocks.now())
+            due_at = clocks.now() + interval
+            await asyncio.sleep(interval)
+            now = clocks.now()
+            if now - due_at > _STALL_S:
+                log_events.emit(
+                    logger,
+                    'process stood still',
+                    level=logging.WARNING,
+                    seconds=round(now - due_at, 3),
+                )
+            self.check(now)
 
     def check(self, now: float) -> None:
         """Ping or abort links by the time since something was received."""
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -115,10 +115,17 @@
         submission = job_api.decode_submission(await request.read())
         if not submission.best_effort:
             return await self._submit_stored(request, route, job_id, submission)
-        job = self._make_job(request, route, job_id, submission, arrived_at)
+        return await self._run_job(
+            self._make_job(request, route, job_id, submission, arrived_at)
+        )
+
+    async def _run_job(self, job: jobs.Job) -> web_response.Response:
         self.coordinator.submit(job)
         try:
             outcome = await job.outcome
+        except asyncio.CancelledError:
+            self._record_disconnect(job)
+            raise
         finally:
             self.coordinator.finish(job)
         is_single_step = len(job.steps) == 1
@@ -132,25 +139,31 @@
                 job.client_timeout,
                 [task.normalized_duration for task in job.tasks],
             )
-        self._record_response(job, outcome, arrived_at)
+        self._record_response(job, outcome)
         return responses.outcome_response(outcome)
 
     def _record_response(
         self,
         job: jobs.Job,
         outcome: jobs.JobOutcome,
-        arrived_at: float,
     ) -> None:
         now = asyncio.get_running_loop().time()
         self.metrics.increment('replies', outcome.value)
-        self.metrics.observe('response_seconds', job.queue, now - arrived_at)
+        self.metrics.observe(
+            'response_seconds', job.queue, now - job.arrived_at
+        )
         self.metrics.observe(
             'first_start_seconds',
             job.queue,
-            job.started_at - arrived_at,
+            job.started_at - job.arrived_at,
         )
         responses.log_job(job, outcome.value, now)
 
+    def _record_disconnect(self, job: jobs.Job) -> None:
+        """Record that the caller has gone; the runs of its job are stopped."""
+        self.metrics.increment('replies', 'caller_gone')
+        responses.log_disconnect(job, asyncio.get_running_loop().time())
+
     def is_busy(self) -> bool:
         """Return whether this entry has open requests or owns stored jobs."""
         return bool(self.open_requests or self.stored_jobs.ownership.owned_jobs)
--- a/src/poplardrum/dispatch/responses.py
+++ b/src/poplardrum/dispatch/responses.py
@@ -90,5 +90,23 @@
     )
 
 
+def log_disconnect(job: jobs.Job, now: float) -> None:
+    """Log that the caller of a job has gone before the job was over."""
+    log_events.emit(
+        logger,
+        'caller gone',
+        job=job.id,
+        after_ms=_to_ms(now - job.arrived_at),
+        since_last_start_ms=_to_ms(now - job.last_placed_at)
+        if job.started
+        else None,
+        stopped_at=sorted(
+            task.agent.node
+            for task in job.placed_tasks()
+            if task.agent is not None
+        ),
+    )
+
+
 def _to_ms(seconds: float) -> int:
     return int(seconds * _MS_PER_S)
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -8,6 +8,7 @@
 from poplardrum import ids
 from poplardrum.dispatch import (
     clocks,
+    confirmation,
     connections,
     entry_sessions,
     executor,
@@ -33,6 +34,7 @@
         self.closed = False
         self.is_stale = False
         self.is_busy = False
+        self.confirmation = confirmation.Confirmation()
         self.is_confirmed = asyncio.Event()
         self.is_confirmed.set()
 
