Simulate requests that arrive after their callers have gone

Change: a tenth of the first attempts arrives at about the time of the second one, and a request of a caller that has left is read all the same, up to 6 ms before the end of its connection.

--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from poplardrum.dispatch import coordinator, fleet
+from poplardrum.dispatch import coordinator, fleet, stale_requests
 from tools.simulation import scenario
 
 _SEEDS: typing.Final = range(1, 9)
@@ -55,3 +55,19 @@
                 for seed in _FAULTY_SEEDS
             )
         self.assertTrue(found)
+
+    def test_requests_that_are_late(self) -> None:
+        """Guards against a simulation that would miss jobs of departed callers."""
+
+        async def start_at_once(*_details: object) -> None:
+            """Hold no request."""
+
+        with mock.patch.object(
+            stale_requests.StaleRequests, 'hold', start_at_once
+        ):
+            found = any(
+                'two runs at once' in violation
+                for seed in _FAULTY_SEEDS
+                for violation in scenario.run(seed, _DURATION_S).violations
+            )
+        self.assertTrue(found)
--- a/tools/simulation/callers.py
+++ b/tools/simulation/callers.py
@@ -7,8 +7,14 @@
 from poplardrum import ids
 from tools.simulation import checks, fleet, processes, virtual_time
 
-_RESUBMIT_DELAY_S: typing.Final = 1.3
 _NETWORK_DELAY_S: typing.Final = 0.002
+# Some requests are held up until about the time of the next attempt. The end of
+# the connection follows them after this delay at most.
+_LATE_SHARE: typing.Final = 0.1
+# Only first attempts with a short timeout, so that all jobs end in a scenario.
+_MAX_TIMEOUT_S: typing.Final = 3.0
+_LATE_RANGE_S: typing.Final = (-0.1, 0.5)
+_MAX_END_DELAY_S: typing.Final = 0.006
 _MAX_ATTEMPTS: typing.Final = 4
 _RETRIED: typing.Final = frozenset((None, 504))
 _MEAN_DURATIONS_S: typing.Final = (0.1, 0.4, 1.5)
@@ -16,6 +22,10 @@
 _MAX_TASKS: typing.Final = 6
 
 
+class Connection(asyncio.BaseTransport):
+    """The connection of a caller to an entry."""
+
+
 class Attempt:
     """One attempt to have a job run, at one entry."""
 
@@ -24,15 +34,29 @@
         entry: processes.EntryProcess,
         request: checks.JobRequest,
         on_answer: typing.Callable[['Attempt', int | None], None],
+        delay_s: float,
+        end_delay_s: float,
     ) -> None:
-        """Send a job to an entry; the answer is `None` if there is none."""
+        """Send a job to an entry; the answer is `None` if there is none.
+
+        The request arrives `delay_s` later than others do.
+        """
         self.process: virtual_time.Process = entry.process
         self.on_answer = on_answer
+        self.end_delay_s = end_delay_s
         self.is_over = False
+        self.has_left = False
         self.task: asyncio.Task[object] | None = None
+        self.connection = Connection()
         simulation = self.process.simulation
         simulation.call_later(
             _NETWORK_DELAY_S,
+            lambda: self.process.call(
+                entry.stale_requests.record_activity, self.connection
+            ),
+        )
+        simulation.call_later(
+            _NETWORK_DELAY_S + delay_s,
             lambda: self.process.call(self._arrive, entry, request),
         )
         simulation.call_later(request.client_timeout, self.leave)
@@ -46,14 +70,19 @@
     def leave(self) -> None:
         """Close the connection, as a caller does that waits no longer."""
         if not self.is_over:
+            self.has_left = True
             self.process.call(self._cancel)
             self.settle(None)
 
     def _arrive(
         self, entry: processes.EntryProcess, request: checks.JobRequest
     ) -> None:
-        if not self.is_over:
-            self.task = entry.submit(request, self._answer)
+        self.task = entry.submit(request, self.connection, self._answer)
+        if self.has_left:
+            # The end of the connection closely follows a request that is late.
+            self.process.simulation.call_later(
+                self.end_delay_s, lambda: self.process.call(self._cancel)
+            )
 
     def _answer(self, status: int) -> None:
         if self.process.is_alive:
@@ -110,9 +139,25 @@
                 request, number, request.client_timeout if is_dark else 0
             )
             return
-        attempt = Attempt(entry, request, self._on_answer)
+        attempt = Attempt(
+            entry,
+            request,
+            self._on_answer,
+            self._request_delay(request, number),
+            self.random.uniform(0, _MAX_END_DELAY_S),
+        )
         self.open_attempts[attempt] = request, number
 
+    def _request_delay(self, request: checks.JobRequest, number: int) -> float:
+        may_be_late = number == 1 and request.client_timeout < _MAX_TIMEOUT_S
+        if not may_be_late or self.random.random() >= _LATE_SHARE:
+            return 0
+        return (
+            request.client_timeout
+            + processes.RESUBMISSION_S
+            + self.random.uniform(*_LATE_RANGE_S)
+        )
+
     def _on_answer(self, attempt: Attempt, answer: int | None) -> None:
         request, number = self.open_attempts.pop(attempt)
         self.fleet.ledger.answers[request.id].append(answer)
@@ -125,7 +170,7 @@
     ) -> None:
         if number < _MAX_ATTEMPTS:
             self.fleet.simulation.call_later(
-                delay + _RESUBMIT_DELAY_S,
+                delay + processes.RESUBMISSION_S,
                 lambda: self._attempt(request, number + 1),
             )
 
--- a/tools/simulation/processes.py
+++ b/tools/simulation/processes.py
@@ -14,6 +14,7 @@
     links,
     messages,
     polling,
+    stale_requests,
     timing,
 )
 from poplardrum.platform import endpoints, settings_file
@@ -25,6 +26,8 @@
     virtual_time,
 )
 
+# How long after an attempt without an answer callers submit a job again.
+RESUBMISSION_S: typing.Final = 1.3
 _STOP_TIME_S: typing.Final = 0.05
 _PORT: typing.Final = 7720
 _DEADLINE_MARGIN_S: typing.Final = 0.03
@@ -69,18 +72,30 @@
                 ],
             )
         )
+        self.stale_requests = stale_requests.StaleRequests(
+            self.coordinator.continuity, RESUBMISSION_S
+        )
         net.listeners[address(node)] = (self.process, self.agent_links.serve)
         self.process.spawn(self.agent_links.keep_alive.run())
 
     def submit(
-        self, request: checks.JobRequest, answer: Answer
+        self,
+        request: checks.JobRequest,
+        connection: asyncio.BaseTransport,
+        answer: Answer,
     ) -> 'asyncio.Task[object]':
         """Handle a job of a caller; cancel the task when the caller leaves."""
-        return self.process.spawn(self._handle(request, answer))
+        return self.process.spawn(self._handle(request, connection, answer))
 
-    async def _handle(self, request: checks.JobRequest, answer: Answer) -> None:
+    async def _handle(
+        self,
+        request: checks.JobRequest,
+        connection: asyncio.BaseTransport,
+        answer: Answer,
+    ) -> None:
         try:
             job = self._make_job(request)
+            await self.stale_requests.hold(job, connection)
             self.coordinator.submit(job)
             try:
                 await job.outcome
@@ -177,7 +192,7 @@
         grace=6.0,
         max_lease=timing.LEASE_S,
         stop_time=_STOP_TIME_S,
-        resubmission=1.3,
+        resubmission=RESUBMISSION_S,
         config_bound=2.0,
         far_factor=1.0,
         writes_per_second=400.0,
