Hold the first request of a connection, which may be of any age

The time at which the entry accepted the connection says nothing about the age of its first request.

Change: only a response on the connection shows that the next request is younger. The server no longer tells of new connections.

Tests: test_request_on_a_new_connection; it is the case that the code before let pass.

--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -158,11 +158,7 @@
             stack, handler.metrics, config.peers[0], listening
         )
         await lifecycle.serve_http(
-            stack,
-            handler.handle_request,
-            config.callers,
-            listening,
-            handler.stale_requests.record_activity,
+            stack, handler.handle_request, config.callers, listening
         )
         await stopping.wait()
         logger.info('stopping')
--- a/src/poplardrum/dispatch/lifecycle.py
+++ b/src/poplardrum/dispatch/lifecycle.py
@@ -7,7 +7,7 @@
 import signal
 import typing
 
-from aiohttp import web_protocol, web_request, web_response, web_server
+from aiohttp import web_request, web_response, web_server
 
 from poplardrum import ini
 from poplardrum.dispatch import clocks, metrics
@@ -122,48 +122,23 @@
     stack.callback(server.close)
 
 
-OnConnection = typing.Callable[[asyncio.BaseTransport], None]
-
-
-class _HttpServer(web_server.Server):
-    """An HTTP server that tells of each connection that it accepts."""
-
-    def __init__(
-        self, handler: HttpHandler, on_connection: OnConnection | None
-    ) -> None:
-        super().__init__(
-            handler,
-            handler_cancellation=True,
-            access_log=None,
-            tcp_keepalive=False,
-        )
-        self.on_connection = on_connection
-
-    def connection_made(
-        self,
-        handler: web_protocol.RequestHandler,
-        transport: asyncio.Transport,
-    ) -> None:
-        super().connection_made(handler, transport)
-        if self.on_connection is not None:
-            self.on_connection(transport)
-
-
 async def serve_http(
     stack: contextlib.AsyncExitStack,
     handler: HttpHandler,
     address: ini.Address,
     listening: listeners.Listeners,
-    on_connection: OnConnection | None = None,
 ) -> None:
     """Serve HTTP at an address until the stack closes.
 
-    `on_connection` is called for each connection when it is accepted.
-
     The low-level server is used without the runners of `aiohttp.web`: importing
     those costs each start a fifteenth of its CPU time.
     """
-    server = _HttpServer(handler, on_connection)
+    server = web_server.Server(
+        handler,
+        handler_cancellation=True,
+        access_log=None,
+        tcp_keepalive=False,
+    )
     loop = asyncio.get_running_loop()
     listener = listening.get(address)
     if listener is not None:
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -91,7 +91,7 @@
             response = responses.error_response(request, error, arrived_at)
         finally:
             self.open_requests -= 1
-        self.stale_requests.record_activity(request.transport)
+        self.stale_requests.record_response(request.transport)
         if self.stopping:
             response.force_close()
         return response
--- a/src/poplardrum/dispatch/stale_requests.py
+++ b/src/poplardrum/dispatch/stale_requests.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import logging
+import math
 import weakref
 
 from poplardrum import log_events
@@ -29,28 +30,29 @@
         """Create a guard; callers submit again after `resubmission_s`."""
         self.continuity = process_continuity
         self.resubmission_s = resubmission_s
-        # When a connection was opened or last had a response.
-        self.active_at: weakref.WeakKeyDictionary[
+        # When a connection last had a response.
+        self.responded_at: weakref.WeakKeyDictionary[
             asyncio.BaseTransport, float
         ] = weakref.WeakKeyDictionary()
 
-    def record_activity(self, transport: asyncio.BaseTransport | None) -> None:
-        """Record that a connection was opened or a response sent."""
+    def record_response(self, transport: asyncio.BaseTransport | None) -> None:
+        """Record that a response is sent over a connection."""
         if transport is not None:
-            self.active_at[transport] = clocks.now()
+            self.responded_at[transport] = clocks.now()
 
     async def hold(
         self, job: jobs.Job, transport: asyncio.BaseTransport | None
     ) -> None:
         """Wait until a caller whose request may be stale is known to wait.
 
-        The HTTP server cancels the request if the connection ends. A request
-        cannot have been sent before its connection was last active.
+        The HTTP server cancels the request if the connection ends. A caller
+        sends a request after the response to its last one; the first one of a
+        connection may be of any age, since a proxy may have connected late.
         """
         if transport is None:
             return
         now = clocks.now()
-        silence = now - self.active_at.get(transport, now)
+        silence = now - self.responded_at.get(transport, -math.inf)
         stale_after = (
             job.client_timeout
             + self.resubmission_s
@@ -63,7 +65,7 @@
             logger,
             'request held',
             job=job.id,
-            silence_s=round(silence, 3),
+            silence_s=round(silence, 3) if math.isfinite(silence) else None,
             after_pause_or_cut=is_in_doubt,
         )
         await asyncio.sleep(timing.CALLER_CHECK_S)
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -112,6 +112,12 @@
         """Connect to an entry."""
         self.connection = socket.create_connection(address)
 
+    def ask_for_unknown_job(self) -> None:
+        """Send a request that needs no agent."""
+        self.connection.sendall(
+            b'GET /unknown/ HTTP/1.1\r\nHost: jobs.example\r\n\r\n'
+        )
+
     def submit(self, client_timeout_s: float = 20) -> None:
         """Send a job of two tasks."""
         submission = site.submission(2, 'specification')
@@ -156,11 +162,7 @@
         self.entry = Entry()
         stack = await self.enterAsyncContext(contextlib.AsyncExitStack())
         await lifecycle.serve_http(
-            stack,
-            self.entry.handler.handle_request,
-            self.entry.address,
-            {},
-            self.entry.handler.stale_requests.record_activity,
+            stack, self.entry.handler.handle_request, self.entry.address, {}
         )
         keep_alive = asyncio.ensure_future(
             self.entry.agent_links.keep_alive.run()
@@ -168,8 +170,9 @@
         stack.callback(keep_alive.cancel)
 
     async def connect(self) -> Caller:
-        """Return a caller whose connection the entry has accepted."""
+        """Return a caller whose connection has had a response."""
         caller = Caller(self.entry.address)
+        caller.ask_for_unknown_job()
         await asyncio.sleep(0.02)
         return caller
 
@@ -195,10 +198,7 @@
             self.assertEqual(self.entry.started_runs(), [])
 
     async def test_request_after_a_cut(self) -> None:
-        """Guards against the start of a job that a cut of the host held up.
-
-        Its connection is new here, as behind a proxy that connects late.
-        """
+        """Guards against the start of a job that a cut of the host held up."""
         self.entry.report_room()
         self.entry.coordinator.continuity.contact_at -= LONG_S
         await asyncio.sleep(timing.IDLE_CHECK_INTERVAL_S)
@@ -210,6 +210,21 @@
             await asyncio.sleep(0.05)
             self.assertEqual(self.entry.started_runs(), [])
 
+    async def test_request_on_a_new_connection(self) -> None:
+        """Guards against the start of a job from behind a proxy.
+
+        It accepted the caller's connection and connected here late.
+        """
+        self.entry.report_room()
+        for leave in (Caller.close, Caller.reset):
+            for lag_s in (0.0002, 0.002, 0.006):
+                caller = Caller(self.entry.address)
+                caller.submit()
+                await asyncio.sleep(lag_s)
+                leave(caller)
+                await asyncio.sleep(0.05)
+                self.assertEqual(self.entry.started_runs(), [])
+
     async def test_request_that_waited_for_the_entry(self) -> None:
         """Guards against the start of a job whose request was read too late.
 
--- a/tools/simulation/callers.py
+++ b/tools/simulation/callers.py
@@ -52,7 +52,7 @@
         simulation.call_later(
             _NETWORK_DELAY_S,
             lambda: self.process.call(
-                entry.stale_requests.record_activity, self.connection
+                entry.stale_requests.record_response, self.connection
             ),
         )
         simulation.call_later(
