--- a/src/poplardrum/standins/worker.py
+++ b/src/poplardrum/standins/worker.py
@@ -17,6 +17,7 @@
 _POLL_INTERVAL_S: typing.Final = 0.005
 _HEARTBEAT_INTERVAL_S: typing.Final = 0.5
 _MS_PER_S: typing.Final = 1000
+_CRASH_DELAY_S: typing.Final = 0.012
 _LATE_DELAY_RANGE_S: typing.Final = (2.0, 6.0)
 
 Handler = typing.Callable[[web.Request], typing.Awaitable[web.Response]]
@@ -31,6 +32,23 @@
     max_lease_s: float = 1.0
 
 
+@dataclasses.dataclass
+class CrashingTasks:
+    """Tasks that crash the endpoint soon after they start.
+
+    They have the `marker` in their specification. The endpoint is back after
+    `restart_delay_s`. `starts` has the name of the task for each start.
+    """
+
+    marker: str = ''
+    restart_delay_s: float = 1.0
+    starts: list[str] = dataclasses.field(default_factory=list)
+
+    def matches(self, specification: str) -> bool:
+        """Return whether a task is one of them."""
+        return bool(self.marker) and self.marker in specification
+
+
 class WorkerStandIn:
     """Serve a `LeasedEndpoint` over HTTP and send its heartbeats."""
 
@@ -54,6 +72,7 @@
         # those that are carried out seconds later and get none.
         self.lost_share = 0.0
         self.late_share = 0.0
+        self.crashing_tasks = CrashingTasks()
         # While true, connections are reset and no heartbeats are sent.
         self.is_crashed = False
         self.transports: weakref.WeakSet[asyncio.BaseTransport] = (
@@ -79,12 +98,24 @@
             typing.cast(asyncio.Transport, transport).abort()
         self.transports.clear()
 
+    def crash_for_a_while(self) -> None:
+        """Crash now, and restart after the delay for crashing tasks."""
+        if not self.is_crashed:
+            self.crash()
+            asyncio.get_running_loop().call_later(
+                self.crashing_tasks.restart_delay_s, self._come_back
+            )
+
     def restart(self) -> None:
         """Restart under the same name, without runs, completions and token."""
         self.endpoint = leased_endpoint.LeasedEndpoint(self.profile.max_lease_s)
         self.started_at_ms = int(time.time() * _MS_PER_S)
         self.sequence = 0
 
+    def _come_back(self) -> None:
+        self.restart()
+        self.is_crashed = False
+
     async def send_heartbeats(self) -> None:
         """Send heartbeats to the agent until cancelled."""
         host, port = self.agent_address
@@ -152,6 +183,11 @@
             token=body['FencingToken'],
         )
         if result is leased_endpoint.StartResult.accepted:
+            if self.crashing_tasks.matches(body['Specification']):
+                self.crashing_tasks.starts.append(body['Task'])
+                asyncio.get_running_loop().call_later(
+                    _CRASH_DELAY_S, self.crash_for_a_while
+                )
             return self._reply({})
         return self._reply({'Reason': result.value}, status=409)
 
