Skip files that a process has closed while a test lists them

The trace shows a race of the test: the process closed a file between the listing and the read of its link. A file that is closed has no target to check, so the check is as strict.

--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -131,4 +131,9 @@
 
 def open_files(proc_folder: pathlib.Path) -> list[str]:
     """Return the targets of a process's file descriptors."""
-    return [str(entry.readlink()) for entry in (proc_folder / 'fd').iterdir()]
+    targets = []
+    for entry in (proc_folder / 'fd').iterdir():
+        # The process may have closed the file since it was listed.
+        with contextlib.suppress(FileNotFoundError):
+            targets.append(str(entry.readlink()))
+    return targets
