Start tasks that may crash endpoints apart, and give up after two crashes

Cause: a run that was lost with its endpoint was started again like any other, without a count, since nobody said that the endpoint had crashed. Class of fault: retry without a limit for a failure that the request itself causes.

Change: agents tell all entries which tasks had started just before their endpoint was lost, and whether it was a crash (crash_watch); entries suspect these tasks (crash_suspects), start them one at a time and apart from others (job_placer, monitor), and end a job as failed after two crashes (crash_handling).

Ruled out: counting at the loss of the endpoint alone (a cut would count); counting all runs that were there (ten neighbours a crash); giving up at the first crash (not allowed).

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -68,7 +68,8 @@
         self.reporter = load_reports.LoadReporter(
             task_executor, self.links, config.zone
         )
-        task_executor.broadcast_completion = self._broadcast_completion
+        task_executor.broadcast_completion = self._broadcast
+        task_executor.monitor.crashes.publish = self._broadcast
 
     def close(self) -> None:
         """Close all connections."""
@@ -156,6 +157,8 @@
         for retained in self.executor.completions.unacknowledged.values():
             if link in self._receivers(retained, now):
                 link.send(retained.message)
+        for notice in self.executor.monitor.crashes.recent_notices:
+            link.send(notice)
         link.send(self.executor.active_runs(session))
         self.reporter.attach(link)
         log_events.emit(logger, 'entry linked', entry=session.node)
@@ -208,9 +211,7 @@
             ),
         )
 
-    def _broadcast_completion(
-        self, message: messages.UnackedCompletion
-    ) -> None:
+    def _broadcast(self, message: messages.Message) -> None:
         for link in self.links:
             link.send(message)
 
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -8,6 +8,8 @@
 from poplardrum.dispatch import (
     clocks,
     continuity,
+    crash_handling,
+    crash_suspects,
     fleet,
     job_placer,
     jobs,
@@ -40,8 +42,12 @@
         self.incarnations: dict[str, set[ids.Incarnation]] = {}
         self.jobs: dict[ids.JobId, jobs.Job] = {}
         self.continuity = continuity.Continuity()
+        self.suspects = crash_suspects.CrashSuspects()
+        self.crash_handler = crash_handling.CrashHandler(
+            self.jobs, self.suspects
+        )
         self.placer = job_placer.JobPlacer(
-            self.index, far_factor, self.continuity
+            self.index, far_factor, self.continuity, self.suspects
         )
         self.completion_rate = return_times.CompletionRate()
         self.return_times = return_times.ReturnTimes()
@@ -58,6 +64,7 @@
                 'the job is running here already',
             )
         self.jobs[job.id] = job
+        self.crash_handler.give_up_if_guilty(job)
         self.placer.add(job)
         loop = asyncio.get_running_loop()
         if job.owner is None:
@@ -120,11 +127,12 @@
                 self._handle_straggler(agent, message)
             case messages.UnackedCompletion():
                 self.on_unclaimed_completion(agent, message)
+            case messages.CrashNotice():
+                self.crash_handler.handle(agent, message)
+                self.placer.schedule()
             case messages.Pong():
                 # An agent without a reply to a ping gets no tasks.
                 self.placer.schedule()
-            case _:
-                pass
 
     def _handle_load(self, agent: fleet.Agent, load: messages.Load) -> None:
         had_cpu = agent.free.cpu_millicores if agent.is_usable() else 0
--- /dev/null
+++ b/src/poplardrum/dispatch/crash_handling.py
@@ -0,0 +1,51 @@
+"""What an entry does about tasks that crash endpoints."""
+
+import asyncio
+import logging
+import typing
+
+from poplardrum import ids, log_events
+from poplardrum.dispatch import crash_suspects, fleet, jobs, messages
+
+logger = logging.getLogger(__name__)
+
+
+class CrashHandler:
+    """Apply the notices of agents; give up jobs whose tasks crash endpoints."""
+
+    def __init__(
+        self,
+        jobs_by_id: typing.Mapping[ids.JobId, jobs.Job],
+        suspects: crash_suspects.CrashSuspects,
+    ) -> None:
+        """Handle the jobs of a coordinator."""
+        self.jobs = jobs_by_id
+        self.suspects = suspects
+
+    def handle(self, agent: fleet.Agent, notice: messages.CrashNotice) -> None:
+        """Apply a notice, and store crashes of stored jobs."""
+        now = asyncio.get_running_loop().time()
+        crash, tasks = self.suspects.apply(agent.node, notice, now)
+        for task in tasks:
+            job = self.jobs.get(task.job)
+            if job is None or task.position >= len(job.tasks):
+                continue
+            if job.owner is not None:
+                job.owner.record_crash(job, task.position, crash)
+            self.give_up_if_guilty(job)
+
+    def give_up_if_guilty(self, job: jobs.Job) -> None:
+        """End a job as failed if a task has crashed too many endpoints."""
+        for task in job.tasks:
+            if not self.suspects.is_guilty(ids.TaskId(job.id, task.index)):
+                continue
+            log_events.emit(
+                logger,
+                'job given up: a task crashes endpoints',
+                job=job.id,
+                level=logging.WARNING,
+                task=task.index,
+                runs=task.run_number,
+            )
+            job.resolve(jobs.JobOutcome.failed)
+            return
--- /dev/null
+++ b/src/poplardrum/dispatch/crash_suspects.py
@@ -0,0 +1,141 @@
+"""Tasks that may have crashed endpoints, as an entry knows them.
+
+A task is suspected once it had started just before an endpoint was lost. It starts
+again apart from others (`JobPlacer`), so that a second crash shows the guilty one,
+whose job is then given up. Losses that turn out to be no crashes do not count.
+
+Agents tell all entries, so an entry also knows tasks of jobs that another entry
+ran before their callers submitted them again.
+"""
+
+import collections
+import dataclasses
+import math
+import typing
+
+from poplardrum import ids
+from poplardrum.dispatch import messages
+
+# A task under which this many endpoints have crashed is not started again.
+MAX_CRASHES: typing.Final = 2
+# Tasks that are remembered; the oldest are forgotten first.
+MAX_TASKS: typing.Final = 4096
+# Time for which a suspected task waits for an endpoint without other starts, before
+# one has to hold others back.
+_MAX_QUIET_WAIT_S: typing.Final = 4.0
+# An endpoint that is not back after this long may have been lost otherwise, and its
+# loss no longer keeps a task from starting.
+_OPEN_S: typing.Final = 8.0
+
+
+@dataclasses.dataclass
+class _Suspicion:
+    """Losses of endpoints by their id: crashes, and those not yet explained.
+
+    `open_losses` has the time until which they count, `suspected_at` the time
+    of the last loss.
+    """
+
+    suspected_at: float = -math.inf
+    crashes: set[ids.CrashId] = dataclasses.field(default_factory=set)
+    open_losses: dict[ids.CrashId, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def open_count(self, now: float) -> int:
+        """Return the number of losses that may turn out to be crashes."""
+        return sum(until > now for until in self.open_losses.values())
+
+
+class CrashSuspects:
+    """Suspected tasks of all jobs; times are those of the event loop."""
+
+    def __init__(self) -> None:
+        """Suspect no task."""
+        self.by_task: collections.OrderedDict[ids.TaskId, _Suspicion] = (
+            collections.OrderedDict()
+        )
+
+    def apply(
+        self, node: str, notice: messages.CrashNotice, now: float
+    ) -> tuple[ids.CrashId, list[ids.TaskId]]:
+        """Apply a notice of an agent; return the id of the loss and its tasks.
+
+        The tasks are those for which it is a new crash.
+        """
+        loss = ids.crash_id(node, notice.incarnation)
+        crashed = []
+        for task in notice.tasks:
+            suspicion = self._suspicion(task)
+            suspicion.open_losses.pop(loss, None)
+            if loss in suspicion.crashes:
+                continue
+            if notice.state is messages.CrashState.confirmed:
+                suspicion.crashes.add(loss)
+                crashed.append(task)
+            elif notice.state is messages.CrashState.suspected:
+                suspicion.open_losses[loss] = now + _OPEN_S
+                suspicion.suspected_at = now
+            if not (suspicion.crashes or suspicion.open_losses):
+                self.by_task.pop(task)
+        return loss, crashed
+
+    def restore(
+        self, job: ids.JobId, crashes: typing.Mapping[int, list[ids.CrashId]]
+    ) -> None:
+        """Add the crashes that the record of a stored job has, by task."""
+        for index, losses in crashes.items():
+            suspicion = self._suspicion(ids.TaskId(job, index))
+            suspicion.crashes.update(losses)
+
+    def is_suspected(self, task: ids.TaskId, now: float) -> bool:
+        """Return whether a task may have crashed an endpoint."""
+        suspicion = self.by_task.get(task)
+        return suspicion is not None and bool(
+            suspicion.crashes or suspicion.open_count(now)
+        )
+
+    def isolation(self, task: ids.TaskId, now: float) -> messages.Isolation:
+        """Return how a suspected task starts: by force after a while."""
+        suspicion = self.by_task.get(task)
+        if suspicion is None:
+            return messages.Isolation.none
+        if now - suspicion.suspected_at < _MAX_QUIET_WAIT_S:
+            return messages.Isolation.when_quiet
+        return messages.Isolation.by_force
+
+    def may_start(self, task: ids.TaskId, now: float) -> bool:
+        """Return whether another start of a task is within its limit.
+
+        It has to wait while losses that are not explained yet could be too
+        many crashes.
+        """
+        suspicion = self.by_task.get(task)
+        if suspicion is None:
+            return True
+        losses = len(suspicion.crashes) + suspicion.open_count(now)
+        return losses < MAX_CRASHES
+
+    def is_guilty(self, task: ids.TaskId) -> bool:
+        """Return whether a task has crashed too many endpoints."""
+        suspicion = self.by_task.get(task)
+        return suspicion is not None and len(suspicion.crashes) >= MAX_CRASHES
+
+    def next_expiry(self, now: float) -> float:
+        """Return when the next open loss stops counting, `inf` without one."""
+        return min(
+            (
+                until
+                for suspicion in self.by_task.values()
+                for until in suspicion.open_losses.values()
+                if until > now
+            ),
+            default=math.inf,
+        )
+
+    def _suspicion(self, task: ids.TaskId) -> _Suspicion:
+        suspicion = self.by_task.setdefault(task, _Suspicion())
+        self.by_task.move_to_end(task)
+        while len(self.by_task) > MAX_TASKS:
+            self.by_task.popitem(last=False)
+        return suspicion
--- a/src/poplardrum/dispatch/endpoint_runs.py
+++ b/src/poplardrum/dispatch/endpoint_runs.py
@@ -6,6 +6,7 @@
 
 from poplardrum import ids
 from poplardrum.dispatch import (
+    clocks,
     connections,
     entry_sessions,
     messages,
@@ -36,7 +37,7 @@
 
     Reports that are requested at `listed_from` or later list the run if it is
     at the endpoint. `link` is the connection on which the command to start it
-    came. `fencing_token` is that of its last start request.
+    came, `added_at` when it came. `fencing_token` is that of its last start request.
     `straggler_reported_at` is when its entry was last notified that the run is
     a straggler.
     """
@@ -51,6 +52,7 @@
     stored: bool = False
     checkpoint: str = ''
     link: connections.Link | None = None
+    added_at: float = dataclasses.field(default_factory=clocks.now)
     state: RunState = RunState.starting
     stopping: bool = False
     fencing_token: int = 0
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -82,7 +82,7 @@
             and self.endpoint_reachable
             and not self.stopping
             and not self.lease.suspended
-            and self.monitor.health.can_start(clocks.now(), len(self.runs))
+            and self.monitor.can_start(clocks.now(), len(self.runs))
         )
 
     def free_capacity(self) -> messages.Resources:
@@ -114,7 +114,7 @@
                 session.link,
             )
             self.runs.add(run)
-            self._spawn(self._start_run(run, request.specification))
+            self._spawn(self._start_run(run, request))
         for reason, runs in refused.items():
             session.send(messages.Refused(request.job, runs, reason))
             run_events.log_tasks_refused(request.job, reason, len(runs))
@@ -213,6 +213,7 @@
             return False
         if report.incarnation > self.status.incarnation:
             self._handle_endpoint_restart(report.incarnation, report.clock_ms)
+        self.monitor.crashes.record_answer(report.incarnation)
         self.status.confirm_restored()
         self.lease.observe_clock(report.clock_ms, now)
         self.lease.reset_token_step()
@@ -233,6 +234,13 @@
             return messages.Refusal.conflict
         if not self.free_capacity().covers(request.demand):
             return messages.Refusal.no_room
+        if (
+            request.isolation is not messages.Isolation.none
+            and not self.monitor.reserve_starts(
+                self.runs.values(), request.isolation, self.status_changed.set
+            )
+        ):
+            return messages.Refusal.conflict
         return None
 
     def _spawn(
@@ -245,12 +253,16 @@
     async def _start_run(
         self,
         run: endpoint_runs.Run,
-        specification: str,
+        request: messages.StartTasks,
     ) -> None:
+        if request.isolation is not messages.Isolation.none:
+            await self.monitor.wait_for_isolation()
         if not await run.session.is_current(run.link):
             self._refuse(run, messages.Refusal.endpoint, 'entry not heard of')
             return
-        refusal = await self.commands.start(self.endpoint, run, specification)
+        refusal = await self.commands.start(
+            self.endpoint, run, request.specification
+        )
         if refusal is not None:
             self._refuse(run, *refusal)
 
@@ -295,6 +307,12 @@
 
     def _handle_endpoint_restart(self, incarnation: int, clock_ms: int) -> None:
         log_events.emit(logger, 'endpoint started', born=incarnation)
+        self.monitor.crashes.record_restart(
+            self.status.incarnation,
+            self.status.heartbeat,
+            self.runs.values(),
+            clocks.now(),
+        )
         # The runs are kept: the next report lacks those that ended with the
         # earlier incarnation, and the new one may have accepted others.
         self.status.reset(incarnation)
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -74,6 +74,10 @@
             _count_fitting(self.free.gpus, demand.gpus),
         )
 
+    def free_fraction(self) -> float:
+        """Return the free fraction of the CPU."""
+        return self.free.cpu_millicores / max(self.capacity.cpu_millicores, 1)
+
     def reserve(self, demand: messages.Resources, count: int) -> None:
         """Reserve capacity for tasks that are being sent in one message."""
         self.starts_sent += 1
--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import logging
+import math
 
 from poplardrum import ids, log_events
 from poplardrum.dispatch import (
     clocks,
     continuity,
+    crash_suspects,
     fleet,
     jobs,
     messages,
@@ -30,6 +32,7 @@
         index: room_index.RoomIndex,
         far_factor: float,
         process_continuity: continuity.Continuity,
+        suspects: crash_suspects.CrashSuspects,
     ) -> None:
         """Place tasks on the agents of an index.
 
@@ -37,6 +40,10 @@
         """
         self.index = index
         self.continuity = process_continuity
+        self.suspects = suspects
+        # Until then no other suspected task starts.
+        self.next_suspect_at = 0.0
+        self.wakes_at = 0.0
         self.far_factor = far_factor
         # Jobs that may have tasks to place.
         self.pending_jobs: dict[ids.JobId, jobs.Job] = {}
@@ -87,17 +94,79 @@
             # A job that waits for a fast endpoint does not block the others.
             if self._place_job(job):
                 self.pending_jobs.pop(job.id)
+        if self.suspects.by_task:
+            self._place_suspect(allowed)
 
     def _place_job(self, job: jobs.Job) -> bool:
         """Place the tasks that fit; return whether all tasks are placed."""
-        waiting = job.ready_tasks()
-        all_placed = True
+        now = asyncio.get_running_loop().time()
+        ready = job.ready_tasks()
+        waiting = [
+            task for task in ready if not self._is_suspected(job, task, now)
+        ]
+        all_placed = len(waiting) == len(ready)
         for step in job.steps:
             tasks = [task for task in waiting if task.step is step]
             if tasks and not self._place_step(job, step, tasks):
                 all_placed = False
         return all_placed
 
+    def _place_suspect(self, allowed: list[jobs.Job]) -> None:
+        """Start at most one suspected task, where it does the least harm.
+
+        It goes to the least busy endpoint, which starts no other task just
+        before and after it. The next one follows when a crash would have shown.
+        """
+        now = asyncio.get_running_loop().time()
+        if now < self.next_suspect_at:
+            return
+        for job in allowed:
+            for task in job.ready_tasks():
+                if not self._is_suspected(job, task, now):
+                    continue
+                agent = self._agent_for_suspect(job, task, now)
+                if agent is not None:
+                    isolation = self.suspects.isolation(
+                        ids.TaskId(job.id, task.index), now
+                    )
+                    self._start_tasks(job, agent, [task], isolation)
+                    self.next_suspect_at = now + timing.CRASH_WINDOW_S
+                    self._wake_at(self.next_suspect_at)
+                    return
+
+    def _is_suspected(self, job: jobs.Job, task: jobs.Task, now: float) -> bool:
+        return bool(self.suspects.by_task) and self.suspects.is_suspected(
+            ids.TaskId(job.id, task.index), now
+        )
+
+    def _agent_for_suspect(
+        self, job: jobs.Job, task: jobs.Task, now: float
+    ) -> fleet.Agent | None:
+        """Return the least busy agent with room, `None` if the task must wait."""
+        if not self.suspects.may_start(ids.TaskId(job.id, task.index), now):
+            self._wake_at(self.suspects.next_expiry(now))
+            return None
+        request = placement.request_for(
+            job, task.step, [task], self.far_factor, now
+        )
+        agents = [agent for agent, _ in placement.fitting(self.index, request)]
+        preferred = [
+            agent for agent in agents if agent.node not in request.avoided_nodes
+        ]
+        return max(
+            preferred or agents,
+            key=fleet.Agent.free_fraction,
+            default=None,
+        )
+
+    def _wake_at(self, at: float) -> None:
+        """Schedule a pass at a time, unless one is due before."""
+        loop = asyncio.get_running_loop()
+        is_later = loop.time() < self.wakes_at <= at
+        if math.isfinite(at) and not is_later:
+            self.wakes_at = at
+            loop.call_at(at, self.schedule)
+
     def _place_step(
         self,
         job: jobs.Job,
@@ -117,6 +186,7 @@
         job: jobs.Job,
         agent: fleet.Agent,
         tasks: list[jobs.Task],
+        isolation: messages.Isolation = messages.Isolation.none,
     ) -> None:
         if agent.link is None:
             return
@@ -136,6 +206,7 @@
             runs=[task.run_number for task in tasks],
             free_cpu=agent.free.cpu_millicores,
             slowness=agent.slowness,
+            isolation=isolation.name,
         )
         step = tasks[0].step
         agent.reserve(step.need, len(tasks))
@@ -154,5 +225,6 @@
                     for task in tasks
                     if task.checkpoint
                 },
+                isolation,
             ),
         )
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -118,6 +118,9 @@
     ) -> None:
         """Record the completion of a run."""
 
+    def record_crash(self, job: 'Job', task: int, crash: ids.CrashId) -> None:
+        """Record that a task, by its index, may have crashed an endpoint."""
+
 
 @dataclasses.dataclass
 class Job:
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -90,6 +90,19 @@
     number: int
 
 
+class Isolation(enum.IntEnum):
+    """Whether a task starts apart from others, as one that may crash endpoints.
+
+    No other task starts for a while after it. A task that starts `when_quiet`
+    is refused if another one has just started; one that starts `by_force` waits
+    for a moment without starts, in which the endpoint refuses others.
+    """
+
+    none = 0
+    when_quiet = 1
+    by_force = 2
+
+
 class StartTasks(Message, frozen=True, tag=4):
     """Command to start tasks of one step.
 
@@ -109,6 +122,7 @@
     first_index: int = 0
     stored: bool = False
     checkpoints: dict[int, str] = {}
+    isolation: Isolation = Isolation.none
 
 
 class StopTasks(Message, frozen=True, tag=5):
@@ -218,6 +232,30 @@
     remaining: float
 
 
+class CrashState(enum.IntEnum):
+    """What is known of the loss of an endpoint.
+
+    It is `suspected` to be a crash until the endpoint is back: `confirmed` if
+    it is a new incarnation, `refuted` if it is the same one or had left.
+    """
+
+    suspected = 1
+    confirmed = 2
+    refuted = 3
+
+
+class CrashNotice(Message, frozen=True, tag=15):
+    """Notice of the loss of an incarnation of an endpoint, sent to all entries.
+
+    `tasks` started just before it, so that one of them may have caused it. A
+    later notice of the incarnation replaces an earlier one.
+    """
+
+    incarnation: int
+    state: CrashState
+    tasks: list[ids.TaskId]
+
+
 class ActiveRuns(Message, frozen=True, tag=10):
     """All active runs of an entry at an agent, sent after a reconnect."""
 
@@ -256,4 +294,5 @@
     | Straggler
     | UnackedCompletion
     | CompletionsAcknowledged
+    | CrashNotice
 )
--- a/src/poplardrum/dispatch/monitor.py
+++ b/src/poplardrum/dispatch/monitor.py
@@ -1,10 +1,19 @@
-"""Health, slowness and stragglers of an endpoint, judged by its runs."""
+"""Health, slowness, crashes and stragglers of an endpoint, judged by its runs."""
 
+import asyncio
 import logging
 import typing
 
 from poplardrum import log_events
-from poplardrum.dispatch import endpoint_runs, health, messages, stragglers
+from poplardrum.dispatch import (
+    clocks,
+    crash_watch,
+    endpoint_runs,
+    health,
+    messages,
+    stragglers,
+    timing,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -20,6 +29,49 @@
         self.health = health.EndpointHealth()
         self.learned_slowness = health.LearnedSlowness()
         self.recent_slowness = health.RecentSlowness()
+        self.crashes = crash_watch.CrashWatch()
+        # Until then no other task starts, so that a crash shows its cause.
+        self.reserved_until = 0.0
+        self.isolated_start_at = 0.0
+
+    def can_start(self, now: float, active_runs: int) -> bool:
+        """Return whether another run may start beside the active ones."""
+        return now >= self.reserved_until and self.health.can_start(
+            now, active_runs
+        )
+
+    def reserve_starts(
+        self,
+        runs: typing.Iterable[endpoint_runs.Run],
+        isolation: messages.Isolation,
+        on_end: typing.Callable[[], object],
+    ) -> bool:
+        """Let no task start for a while but one that may crash the endpoint.
+
+        Return whether it may start, after `wait_for_isolation`; call `on_end`
+        when others may start again.
+        """
+        now = clocks.now()
+        self.isolated_start_at = now
+        if not self._is_quiet(runs):
+            if isolation is not messages.Isolation.by_force:
+                return False
+            self.isolated_start_at = now + timing.CRASH_WINDOW_S
+        self.reserved_until = self.isolated_start_at + timing.CRASH_WINDOW_S
+        asyncio.get_running_loop().call_later(self.reserved_until - now, on_end)
+        return True
+
+    async def wait_for_isolation(self) -> None:
+        """Wait until the task for which starts are reserved may start."""
+        await asyncio.sleep(max(self.isolated_start_at - clocks.now(), 0))
+
+    def _is_quiet(self, runs: typing.Iterable[endpoint_runs.Run]) -> bool:
+        """Return whether no run is just starting."""
+        since = clocks.now() - timing.CRASH_WINDOW_S
+        return all(
+            run.added_at < since and run.state is endpoint_runs.RunState.running
+            for run in runs
+        )
 
     def slowness(self, now: float) -> float:
         """Return the expected ratio of actual to estimated duration."""
--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -15,6 +15,7 @@
     messages,
     record_writer,
     records,
+    unclaimed_completions,
 )
 
 logger = logging.getLogger(__name__)
@@ -22,9 +23,6 @@
 # Finished jobs whose state is known without reading the store.
 _MAX_FINISHED_JOBS: typing.Final = 4096
 _IDLE_VALIDITY_INTERVAL_S: typing.Final = 0.25
-# Jobs whose completions were received but that this entry does not own;
-# their owners may be gone.
-_MAX_UNCLAIMED_JOBS: typing.Final = 2048
 
 _STATE_BY_OUTCOME: typing.Final = {
     jobs.JobOutcome.completed: records.State.completed,
@@ -32,8 +30,6 @@
     jobs.JobOutcome.cancelled: records.State.cancelled,
 }
 
-AgentCompletions = list[tuple[fleet.Agent, messages.CompletionId]]
-
 
 @dataclasses.dataclass
 class OwnedJob:
@@ -72,21 +68,12 @@
         self.finished_jobs: collections.OrderedDict[
             ids.JobId, records.State
         ] = collections.OrderedDict()
-        self.unclaimed_completions: collections.OrderedDict[
-            ids.JobId,
-            dict[
-                messages.CompletionId,
-                tuple[fleet.Agent, messages.UnackedCompletion],
-            ],
-        ] = collections.OrderedDict()
+        self.unclaimed = unclaimed_completions.UnclaimedCompletions()
         # Finished jobs whose records this entry has to remove, and the times
         # at which they finished.
         self.records_to_remove: collections.deque[tuple[float, ids.JobId]] = (
             collections.deque()
         )
-        # Jobs of `unclaimed_completions` whose records have to be read.
-        self.jobs_to_look_up: dict[ids.JobId, None] = {}
-        self.has_jobs_to_look_up = asyncio.Event()
         self.background_tasks: set[asyncio.Task[object]] = set()
         self.could_own_jobs = False
 
@@ -101,6 +88,7 @@
         owned = OwnedJob(job, pending, confirmed=self.can_own_jobs())
         self.owned_jobs[job.id] = owned
         self._apply_unclaimed(owned)
+        self.coordinator.suspects.restore(job.id, pending.record.crashes)
         # The last owner may have stored all completions, but not the outcome.
         outcome = _decided_outcome(job)
         if outcome is not None and not job.outcome.done():
@@ -168,43 +156,31 @@
         if not job.outcome.done():
             self.spawn(self._commit(owned, completion.completion_id))
 
+    def record_crash(
+        self, job: jobs.Job, task: int, crash: ids.CrashId
+    ) -> None:
+        """Store a crash that a task may have caused, for later owners."""
+        owned = self.owned_jobs.get(job.id)
+        if owned is None:
+            return
+        crashes = owned.pending.record.crashes.setdefault(task, [])
+        if crash not in crashes:
+            crashes.append(crash)
+            self.spawn(self._store(owned))
+
     def handle_unclaimed(
         self, agent: fleet.Agent, message: messages.UnackedCompletion
     ) -> None:
         """Handle the completion of a run that this entry did not start."""
         if message.job in self.finished_jobs:
-            _acknowledge([(agent, message.completion_id)])
+            unclaimed_completions.acknowledge([(agent, message.completion_id)])
             return
-        unclaimed = self.unclaimed_completions.setdefault(message.job, {})
-        unclaimed[message.completion_id] = (agent, message)
+        self.unclaimed.add(agent, message)
         owned = self.owned_jobs.get(message.job)
         if owned is not None:
             self._apply_unclaimed(owned)
-            return
-        while len(self.unclaimed_completions) > _MAX_UNCLAIMED_JOBS:
-            self.unclaimed_completions.popitem(last=False)
-        if len(self.jobs_to_look_up) < _MAX_UNCLAIMED_JOBS:
-            self.jobs_to_look_up[message.job] = None
-            self.has_jobs_to_look_up.set()
-
-    def pop_jobs_to_look_up(self, limit: int) -> list[ids.JobId]:
-        """Return up to `limit` jobs whose records have to be read."""
-        popped = list(self.jobs_to_look_up)[:limit]
-        for job in popped:
-            self.jobs_to_look_up.pop(job)
-        if not self.jobs_to_look_up:
-            self.has_jobs_to_look_up.clear()
-        return popped
-
-    def acknowledge_unclaimed(self, job: ids.JobId) -> None:
-        """Acknowledge completions of a job that does not need them any more."""
-        unclaimed = self.unclaimed_completions.pop(job, {})
-        _acknowledge(
-            [
-                (agent, completion_id)
-                for completion_id, (agent, _) in unclaimed.items()
-            ]
-        )
+        else:
+            self.unclaimed.request_look_up(message.job)
 
     def mark_finished(self, job: ids.JobId, state: records.State) -> None:
         """Record the state of a finished job; acknowledge its completions."""
@@ -212,7 +188,7 @@
         self.records_to_remove.append((clocks.now(), job))
         if len(self.finished_jobs) > _MAX_FINISHED_JOBS:
             self.finished_jobs.popitem(last=False)
-        self.acknowledge_unclaimed(job)
+        self.unclaimed.acknowledge(job)
 
     def pop_records_to_remove(self, before: float) -> list[ids.JobId]:
         """Remove and return the jobs that finished before a time."""
@@ -289,8 +265,8 @@
             self.relinquish(owned)
 
     def _apply_unclaimed(self, owned: OwnedJob) -> None:
-        for completion_id, (agent, message) in self.unclaimed_completions.pop(
-            owned.job.id, {}
+        for completion_id, (agent, message) in self.unclaimed.pop(
+            owned.job.id
         ).items():
             self._apply_completion(owned, agent, message, completion_id)
 
@@ -349,15 +325,21 @@
         self, owned: OwnedJob, completion_id: messages.CompletionId
     ) -> None:
         """Store the record, which has a completion; then acknowledge it."""
+        if await self._store(owned):
+            agent = owned.unstored.pop(completion_id, None)
+            if agent is not None:
+                unclaimed_completions.acknowledge([(agent, completion_id)])
+
+    async def _store(self, owned: OwnedJob) -> bool:
+        """Store the record; stop running the job if it has another owner."""
         if (
             await self.writer.put(owned.pending)
             is record_writer.WriteResult.committed
         ):
-            agent = owned.unstored.pop(completion_id, None)
-            if agent is not None:
-                _acknowledge([(agent, completion_id)])
-        elif not owned.job.outcome.done():
+            return True
+        if not owned.job.outcome.done():
             self.relinquish(owned)
+        return False
 
     async def _await_outcome(self, owned: OwnedJob) -> None:
         """Wait for the outcome of a job and store it."""
@@ -374,7 +356,7 @@
             await self.writer.put(owned.pending)
             is record_writer.WriteResult.committed
         ):
-            _acknowledge(
+            unclaimed_completions.acknowledge(
                 [
                     (agent, completion_id)
                     for completion_id, agent in owned.unstored.items()
@@ -413,13 +395,4 @@
     if completion_id in owned.unstored:
         owned.unstored[completion_id] = agent
     else:
-        _acknowledge([(agent, completion_id)])
-
-
-def _acknowledge(agent_completions: AgentCompletions) -> None:
-    by_agent: dict[fleet.Agent, list[messages.CompletionId]] = {}
-    for agent, completion_id in agent_completions:
-        by_agent.setdefault(agent, []).append(completion_id)
-    for agent, completion_ids in by_agent.items():
-        if agent.link is not None:
-            agent.link.send(messages.CompletionsAcknowledged(completion_ids))
+        unclaimed_completions.acknowledge([(agent, completion_id)])
--- a/src/poplardrum/dispatch/polling.py
+++ b/src/poplardrum/dispatch/polling.py
@@ -121,6 +121,13 @@
             return
         if reply.result is endpoints.RequestResult.unsent:
             return
+        # A broken connection shows at once, a silent endpoint by the timeout.
+        is_broken = now - requested_at < wait_s
+        task_executor.monitor.crashes.record_failure(
+            task_executor.status.incarnation,
+            task_executor.runs.values(),
+            now if is_broken else self.last_answer_at,
+        )
         self._record_failure(now, reply.result)
         await asyncio.sleep(_RETRY_INTERVAL_S)
 
@@ -149,6 +156,7 @@
             return
         if task_executor.endpoint_reachable:
             task_executor.endpoint_reachable = False
+            task_executor.monitor.crashes.record_loss()
             task_executor.lease.suspended = True
             task_executor.status_changed.set()
             log_events.emit(
--- a/src/poplardrum/dispatch/records.py
+++ b/src/poplardrum/dispatch/records.py
@@ -37,8 +37,8 @@
     `owner` is the incarnation of the entry that runs the job, and `epoch`
     counts the owners before it. `done_tasks` has the indexes of tasks that
     are done. By index of the task, `failure_counts` has how many runs failed,
-    `failed_runs` the numbers of these runs and `checkpoints` the last
-    checkpoint. `target_latency` is in seconds.
+    `failed_runs` the numbers of these runs, `checkpoints` the last checkpoint
+    and `crashes` the crashes of endpoints that the task may have caused. `target_latency` is in seconds.
 
     New fields come last, with a default: entries of the previous version read
     and write the same records.
@@ -58,6 +58,7 @@
     failure_counts: dict[int, int] = {}
     checkpoints: dict[int, str] = {}
     failed_runs: dict[int, list[int]] = {}
+    crashes: dict[int, list[ids.CrashId]] = {}
 
     def is_over(self) -> bool:
         """Return whether the job has finished or was cancelled."""
@@ -79,6 +80,9 @@
             failed_runs={
                 task: list(runs) for task, runs in self.failed_runs.items()
             },
+            crashes={
+                task: list(crashes) for task, crashes in self.crashes.items()
+            },
         )
 
     def add_completion(self, run: messages.RunId, *, is_done: bool) -> None:
@@ -157,7 +161,12 @@
         if not all(0 <= need <= _MAX_NEED for need in _needs(step)):
             return False
         task_count += step.count
-    indexes = (*record.done_tasks, *record.failure_counts, *record.checkpoints)
+    indexes = (
+        *record.done_tasks,
+        *record.failure_counts,
+        *record.checkpoints,
+        *record.crashes,
+    )
     return (
         task_count <= _MAX_TASKS
         and 0 <= record.epoch <= _MAX_EPOCH
--- a/src/poplardrum/dispatch/takeover.py
+++ b/src/poplardrum/dispatch/takeover.py
@@ -159,9 +159,9 @@
         acknowledged.
         """
         while True:
-            await self.ownership.has_jobs_to_look_up.wait()
+            await self.ownership.unclaimed.has_jobs_to_look_up.wait()
             await asyncio.sleep(_LOOKUP_INTERVAL_S)
-            for job in self.ownership.pop_jobs_to_look_up(
+            for job in self.ownership.unclaimed.pop_jobs_to_look_up(
                 _MAX_LOOKUPS_PER_ROUND
             ):
                 # If the store is unreachable, the agents send the completions
@@ -172,7 +172,7 @@
     async def _look_up_job(self, job: ids.JobId) -> None:
         record = await self._read_record(job)
         if record is None or record[0].is_over():
-            self.ownership.acknowledge_unclaimed(job)
+            self.ownership.unclaimed.acknowledge(job)
 
     async def scan(self) -> None:
         """Take over the jobs of owners that are gone.
--- a/src/poplardrum/dispatch/timing.py
+++ b/src/poplardrum/dispatch/timing.py
@@ -41,6 +41,9 @@
 CALLER_CHECK_S: typing.Final = 0.015
 # Longest time to retry the stop of a run before the lease is suspended.
 TOTAL_STOP_TIMEOUT_S: typing.Final = 0.25
+# A task that crashes its endpoint does so this soon after its start. No other task
+# starts there for as long before and after one that is suspected of it.
+CRASH_WINDOW_S: typing.Final = 0.1
 # Duration of the lease on the runs of an endpoint, unless the endpoint allows
 # less. A short lease bounds how long runs of a lost endpoint may go on; this
 # one still covers two renewals without a reply.
--- /dev/null
+++ b/src/poplardrum/dispatch/unclaimed_completions.py
@@ -0,0 +1,75 @@
+"""Completions of stored jobs that this entry does not own, and acknowledgements."""
+
+import asyncio
+import collections
+import typing
+
+from poplardrum import ids
+from poplardrum.dispatch import fleet, messages
+
+# Jobs whose completions were received but that this entry does not own;
+# their owners may be gone.
+_MAX_JOBS: typing.Final = 2048
+
+AgentCompletion = tuple[fleet.Agent, messages.CompletionId]
+AgentMessage = tuple[fleet.Agent, messages.UnackedCompletion]
+
+
+class UnclaimedCompletions:
+    """Keep completions by job until their jobs are owned or known to be over."""
+
+    def __init__(self) -> None:
+        """Start without completions."""
+        self.by_job: collections.OrderedDict[
+            ids.JobId, dict[messages.CompletionId, AgentMessage]
+        ] = collections.OrderedDict()
+        # Jobs whose records have to be read.
+        self.jobs_to_look_up: dict[ids.JobId, None] = {}
+        self.has_jobs_to_look_up = asyncio.Event()
+
+    def add(
+        self, agent: fleet.Agent, message: messages.UnackedCompletion
+    ) -> None:
+        """Keep a completion; the oldest job is dropped beyond a limit."""
+        unclaimed = self.by_job.setdefault(message.job, {})
+        unclaimed[message.completion_id] = (agent, message)
+        while len(self.by_job) > _MAX_JOBS:
+            self.by_job.popitem(last=False)
+
+    def request_look_up(self, job: ids.JobId) -> None:
+        """Have the record of a job read, unless too many wait for that."""
+        if len(self.jobs_to_look_up) < _MAX_JOBS:
+            self.jobs_to_look_up[job] = None
+            self.has_jobs_to_look_up.set()
+
+    def pop_jobs_to_look_up(self, limit: int) -> list[ids.JobId]:
+        """Return up to `limit` jobs whose records have to be read."""
+        popped = list(self.jobs_to_look_up)[:limit]
+        for job in popped:
+            self.jobs_to_look_up.pop(job)
+        if not self.jobs_to_look_up:
+            self.has_jobs_to_look_up.clear()
+        return popped
+
+    def pop(self, job: ids.JobId) -> dict[messages.CompletionId, AgentMessage]:
+        """Remove and return the completions of a job."""
+        return self.by_job.pop(job, {})
+
+    def acknowledge(self, job: ids.JobId) -> None:
+        """Acknowledge completions of a job that does not need them any more."""
+        acknowledge(
+            [
+                (agent, completion_id)
+                for completion_id, (agent, _) in self.pop(job).items()
+            ]
+        )
+
+
+def acknowledge(completions: typing.Iterable[AgentCompletion]) -> None:
+    """Tell agents that their endpoints may drop completions."""
+    by_agent: dict[fleet.Agent, list[messages.CompletionId]] = {}
+    for agent, completion_id in completions:
+        by_agent.setdefault(agent, []).append(completion_id)
+    for agent, completion_ids in by_agent.items():
+        if agent.link is not None:
+            agent.link.send(messages.CompletionsAcknowledged(completion_ids))
--- a/src/poplardrum/ids.py
+++ b/src/poplardrum/ids.py
@@ -17,6 +17,8 @@
 JobId = typing.NewType('JobId', str)
 RequestId = typing.NewType('RequestId', int)
 EditId = typing.NewType('EditId', str)
+# The loss of one incarnation of an endpoint.
+CrashId = typing.NewType('CrashId', str)
 # Number of a configuration document. A later document has a higher number, but
 # numbers are not consecutive: the low bits are a digest.
 ConfigNumber = typing.NewType('ConfigNumber', int)
@@ -31,6 +33,11 @@
     position: int
 
 
+def crash_id(node: str, incarnation: int) -> CrashId:
+    """Return the id of the loss of an endpoint's incarnation at a node."""
+    return CrashId(f'{node}/{incarnation}')
+
+
 def new_incarnation() -> Incarnation:
     """Return a random id for a new incarnation of a process."""
     return Incarnation(secrets.token_hex(_RANDOM_BYTES))
