Find suspected tasks by job, so that other jobs cost nothing

Crashes are remembered, so after the first one each pass of placement looked up each waiting task of all jobs. Now a job without a suspected task costs one look-up. An index out of range in a notice is ignored: stored, it would have made the record unreadable.

--- a/src/poplardrum/dispatch/crash_handling.py
+++ b/src/poplardrum/dispatch/crash_handling.py
@@ -28,7 +28,7 @@
         crash, tasks = self.suspects.apply(agent.node, notice, now)
         for task in tasks:
             job = self.jobs.get(task.job)
-            if job is None or task.position >= len(job.tasks):
+            if job is None or not 0 <= task.position < len(job.tasks):
                 continue
             if job.owner is not None:
                 job.owner.record_crash(job, task.position, crash)
@@ -36,16 +36,14 @@
 
     def give_up_if_guilty(self, job: jobs.Job) -> None:
         """End a job as failed if a task has crashed too many endpoints."""
-        for task in job.tasks:
-            if not self.suspects.is_guilty(ids.TaskId(job.id, task.index)):
-                continue
-            log_events.emit(
-                logger,
-                'job given up: a task crashes endpoints',
-                job=job.id,
-                level=logging.WARNING,
-                task=task.index,
-                runs=task.run_number,
-            )
-            job.resolve(jobs.JobOutcome.failed)
+        task = self.suspects.guilty_task(job.id)
+        if task is None or job.outcome.done():
             return
+        log_events.emit(
+            logger,
+            'job given up: a task crashes endpoints',
+            job=job.id,
+            level=logging.WARNING,
+            task=task,
+        )
+        job.resolve(jobs.JobOutcome.failed)
--- a/src/poplardrum/dispatch/crash_suspects.py
+++ b/src/poplardrum/dispatch/crash_suspects.py
@@ -18,8 +18,8 @@
 
 # A task under which this many endpoints have crashed is not started again.
 MAX_CRASHES: typing.Final = 2
-# Tasks that are remembered; the oldest are forgotten first.
-MAX_TASKS: typing.Final = 4096
+# Jobs that are remembered; the oldest are forgotten first.
+MAX_JOBS: typing.Final = 4096
 # Time for which a suspected task waits for an endpoint without other starts, before
 # one has to hold others back.
 _MAX_QUIET_WAIT_S: typing.Final = 4.0
@@ -47,12 +47,17 @@
         return sum(until > now for until in self.open_losses.values())
 
 
+_Suspicions = dict[int, _Suspicion]
+_NO_SUSPICIONS: typing.Final[_Suspicions] = {}
+
+
 class CrashSuspects:
     """Suspected tasks of all jobs; times are those of the event loop."""
 
     def __init__(self) -> None:
         """Suspect no task."""
-        self.by_task: collections.OrderedDict[ids.TaskId, _Suspicion] = (
+        # By the job, then by the index of the task.
+        self.by_job: collections.OrderedDict[ids.JobId, _Suspicions] = (
             collections.OrderedDict()
         )
 
@@ -77,7 +82,7 @@
                 suspicion.open_losses[loss] = now + _OPEN_S
                 suspicion.suspected_at = now
             if not (suspicion.crashes or suspicion.open_losses):
-                self.by_task.pop(task)
+                self._forget(task)
         return loss, crashed
 
     def restore(
@@ -90,14 +95,14 @@
 
     def is_suspected(self, task: ids.TaskId, now: float) -> bool:
         """Return whether a task may have crashed an endpoint."""
-        suspicion = self.by_task.get(task)
+        suspicion = self._find(task)
         return suspicion is not None and bool(
             suspicion.crashes or suspicion.open_count(now)
         )
 
     def isolation(self, task: ids.TaskId, now: float) -> messages.Isolation:
         """Return how a suspected task starts: by force after a while."""
-        suspicion = self.by_task.get(task)
+        suspicion = self._find(task)
         if suspicion is None:
             return messages.Isolation.none
         if now - suspicion.suspected_at < _MAX_QUIET_WAIT_S:
@@ -110,7 +115,7 @@
         It has to wait while losses that are not explained yet could be too
         many crashes.
         """
-        suspicion = self.by_task.get(task)
+        suspicion = self._find(task)
         if suspicion is None:
             return True
         losses = len(suspicion.crashes) + suspicion.open_count(now)
@@ -118,24 +123,42 @@
 
     def is_guilty(self, task: ids.TaskId) -> bool:
         """Return whether a task has crashed too many endpoints."""
-        suspicion = self.by_task.get(task)
+        suspicion = self._find(task)
         return suspicion is not None and len(suspicion.crashes) >= MAX_CRASHES
 
-    def next_expiry(self, now: float) -> float:
-        """Return when the next open loss stops counting, `inf` without one."""
+    def guilty_task(self, job: ids.JobId) -> int | None:
+        """Return the index of a guilty task of a job, `None` without one."""
+        for index in self.by_job.get(job, _NO_SUSPICIONS):
+            if self.is_guilty(ids.TaskId(job, index)):
+                return index
+        return None
+
+    def next_expiry(self, task: ids.TaskId, now: float) -> float:
+        """Return when an open loss of a task stops counting, `inf` without one."""
+        suspicion = self._find(task)
         return min(
             (
                 until
-                for suspicion in self.by_task.values()
-                for until in suspicion.open_losses.values()
+                for until in (
+                    suspicion.open_losses if suspicion else {}
+                ).values()
                 if until > now
             ),
             default=math.inf,
         )
 
+    def _find(self, task: ids.TaskId) -> _Suspicion | None:
+        return self.by_job.get(task.job, _NO_SUSPICIONS).get(task.position)
+
     def _suspicion(self, task: ids.TaskId) -> _Suspicion:
-        suspicion = self.by_task.setdefault(task, _Suspicion())
-        self.by_task.move_to_end(task)
-        while len(self.by_task) > MAX_TASKS:
-            self.by_task.popitem(last=False)
-        return suspicion
+        suspicions = self.by_job.setdefault(task.job, {})
+        self.by_job.move_to_end(task.job)
+        while len(self.by_job) > MAX_JOBS:
+            self.by_job.popitem(last=False)
+        return suspicions.setdefault(task.position, _Suspicion())
+
+    def _forget(self, task: ids.TaskId) -> None:
+        suspicions = self.by_job[task.job]
+        suspicions.pop(task.position)
+        if not suspicions:
+            self.by_job.pop(task.job)
--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -94,16 +94,19 @@
             # A job that waits for a fast endpoint does not block the others.
             if self._place_job(job):
                 self.pending_jobs.pop(job.id)
-        if self.suspects.by_task:
-            self._place_suspect(allowed)
+        suspected = [job for job in allowed if job.id in self.suspects.by_job]
+        if suspected:
+            self._place_suspect(suspected)
 
     def _place_job(self, job: jobs.Job) -> bool:
         """Place the tasks that fit; return whether all tasks are placed."""
         now = asyncio.get_running_loop().time()
         ready = job.ready_tasks()
-        waiting = [
-            task for task in ready if not self._is_suspected(job, task, now)
-        ]
+        waiting = ready
+        if job.id in self.suspects.by_job:
+            waiting = [
+                task for task in ready if not self._is_suspected(job, task, now)
+            ]
         all_placed = len(waiting) == len(ready)
         for step in job.steps:
             tasks = [task for task in waiting if task.step is step]
@@ -111,7 +114,7 @@
                 all_placed = False
         return all_placed
 
-    def _place_suspect(self, allowed: list[jobs.Job]) -> None:
+    def _place_suspect(self, suspected: list[jobs.Job]) -> None:
         """Start at most one suspected task, where it does the least harm.
 
         It goes to the least busy endpoint, which starts no other task just
@@ -120,7 +123,7 @@
         now = asyncio.get_running_loop().time()
         if now < self.next_suspect_at:
             return
-        for job in allowed:
+        for job in suspected:
             for task in job.ready_tasks():
                 if not self._is_suspected(job, task, now):
                     continue
@@ -135,16 +138,15 @@
                     return
 
     def _is_suspected(self, job: jobs.Job, task: jobs.Task, now: float) -> bool:
-        return bool(self.suspects.by_task) and self.suspects.is_suspected(
-            ids.TaskId(job.id, task.index), now
-        )
+        return self.suspects.is_suspected(ids.TaskId(job.id, task.index), now)
 
     def _agent_for_suspect(
         self, job: jobs.Job, task: jobs.Task, now: float
     ) -> fleet.Agent | None:
         """Return the least busy agent with room, `None` if the task must wait."""
-        if not self.suspects.may_start(ids.TaskId(job.id, task.index), now):
-            self._wake_at(self.suspects.next_expiry(now))
+        task_id = ids.TaskId(job.id, task.index)
+        if not self.suspects.may_start(task_id, now):
+            self._wake_at(self.suspects.next_expiry(task_id, now))
             return None
         request = placement.request_for(
             job, task.step, [task], self.far_factor, now
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -67,13 +67,13 @@
         self.apply('side-1', notice(1, SUSPECTED))
         self.apply('side-1', notice(1, REFUTED))
         self.assertFalse(self.suspects.is_suspected(TASK, self.now))
-        self.assertEqual(len(self.suspects.by_task), 0)
+        self.assertEqual(len(self.suspects.by_job), 0)
 
     def test_endpoint_that_does_not_come_back(self) -> None:
         """Guards against a task that waits for ever for an explanation."""
         self.apply('side-1', notice(1, SUSPECTED))
         self.apply('side-2', notice(1, SUSPECTED))
-        self.now = self.suspects.next_expiry(self.now)
+        self.now = self.suspects.next_expiry(TASK, self.now)
         self.assertTrue(self.suspects.may_start(TASK, self.now))
 
     def test_isolation_by_force(self) -> None:
@@ -89,10 +89,10 @@
 
     def test_memory(self) -> None:
         """Guards against suspicions without a bound."""
-        for number in range(crash_suspects.MAX_TASKS + 1):
+        for number in range(crash_suspects.MAX_JOBS + 1):
             task = ids.TaskId(ids.JobId(f'{number:016x}'), 0)
             self.apply('side-1', notice(1, CONFIRMED, task))
-        self.assertEqual(len(self.suspects.by_task), crash_suspects.MAX_TASKS)
+        self.assertEqual(len(self.suspects.by_job), crash_suspects.MAX_JOBS)
 
 
 class TestPlacement(stored_world.StoredCase):
