Do not blame tasks that had run for a while for a crash

A long task on endpoints that crash again and again for other reasons would have been given up.

Change: only tasks that had just started are suspected. Others are bystanders: they start like any other task, and a job is given up after four crashes in all, so that a task which crashes endpoints late still has an end.

--- a/src/poplardrum/dispatch/crash_handling.py
+++ b/src/poplardrum/dispatch/crash_handling.py
@@ -28,11 +28,14 @@
         crash, tasks = self.suspects.apply(agent.node, notice, now)
         for task in tasks:
             job = self.jobs.get(task.job)
-            if job is None or not 0 <= task.position < len(job.tasks):
+            if job is None or job.owner is None:
                 continue
-            if job.owner is not None:
+            if 0 <= task.position < len(job.tasks):
                 job.owner.record_crash(job, task.position, crash)
-            self.give_up_if_guilty(job)
+        for task in (*tasks, *notice.bystanders):
+            job = self.jobs.get(task.job)
+            if job is not None:
+                self.give_up_if_guilty(job)
 
     def give_up_if_guilty(self, job: jobs.Job) -> None:
         """End a job as failed if a task has crashed too many endpoints."""
--- a/src/poplardrum/dispatch/crash_suspects.py
+++ b/src/poplardrum/dispatch/crash_suspects.py
@@ -18,6 +18,9 @@
 
 # A task under which this many endpoints have crashed is not started again.
 MAX_CRASHES: typing.Final = 2
+# The same if it had not just started, so that it is the less likely cause. A task
+# that crashes endpoints late is found that way.
+_MAX_NEARBY_CRASHES: typing.Final = 4
 # Jobs that are remembered; the oldest are forgotten first.
 MAX_JOBS: typing.Final = 4096
 # Time for which a suspected task waits for an endpoint without other starts, before
@@ -32,16 +35,35 @@
 class _Suspicion:
     """Losses of endpoints by their id: crashes, and those not yet explained.
 
-    `open_losses` has the time until which they count, `suspected_at` the time
-    of the last loss.
+    The task had run for a while at `nearby_crashes`. `open_losses` has the time
+    until which they count, `suspected_at` the time of the last loss.
     """
 
     suspected_at: float = -math.inf
     crashes: set[ids.CrashId] = dataclasses.field(default_factory=set)
+    nearby_crashes: set[ids.CrashId] = dataclasses.field(default_factory=set)
     open_losses: dict[ids.CrashId, float] = dataclasses.field(
         default_factory=dict
     )
 
+    def apply(
+        self, loss: ids.CrashId, state: messages.CrashState, now: float
+    ) -> bool:
+        """Apply what is known of a loss; return whether it is a new crash."""
+        self.open_losses.pop(loss, None)
+        if loss in self.crashes:
+            return False
+        if state is messages.CrashState.suspected:
+            self.open_losses[loss] = now + _OPEN_S
+            self.suspected_at = now
+        if state is messages.CrashState.confirmed:
+            self.crashes.add(loss)
+        return state is messages.CrashState.confirmed
+
+    def is_empty(self) -> bool:
+        """Return whether there is nothing to remember."""
+        return not (self.crashes or self.nearby_crashes or self.open_losses)
+
     def open_count(self, now: float) -> int:
         """Return the number of losses that may turn out to be crashes."""
         return sum(until > now for until in self.open_losses.values())
@@ -72,17 +94,13 @@
         crashed = []
         for task in notice.tasks:
             suspicion = self._suspicion(task)
-            suspicion.open_losses.pop(loss, None)
-            if loss in suspicion.crashes:
-                continue
-            if notice.state is messages.CrashState.confirmed:
-                suspicion.crashes.add(loss)
+            if suspicion.apply(loss, notice.state, now):
                 crashed.append(task)
-            elif notice.state is messages.CrashState.suspected:
-                suspicion.open_losses[loss] = now + _OPEN_S
-                suspicion.suspected_at = now
-            if not (suspicion.crashes or suspicion.open_losses):
+            if suspicion.is_empty():
                 self._forget(task)
+        if notice.state is messages.CrashState.confirmed:
+            for task in notice.bystanders:
+                self._suspicion(task).nearby_crashes.add(loss)
         return loss, crashed
 
     def restore(
@@ -122,9 +140,13 @@
         return losses < MAX_CRASHES
 
     def is_guilty(self, task: ids.TaskId) -> bool:
-        """Return whether a task has crashed too many endpoints."""
+        """Return whether too many endpoints have crashed under a task."""
         suspicion = self._find(task)
-        return suspicion is not None and len(suspicion.crashes) >= MAX_CRASHES
+        return suspicion is not None and (
+            len(suspicion.crashes) >= MAX_CRASHES
+            or len(suspicion.crashes | suspicion.nearby_crashes)
+            >= _MAX_NEARBY_CRASHES
+        )
 
     def guilty_task(self, job: ids.JobId) -> int | None:
         """Return the index of a guilty task of a job, `None` without one."""
--- a/src/poplardrum/dispatch/crash_watch.py
+++ b/src/poplardrum/dispatch/crash_watch.py
@@ -2,7 +2,8 @@
 
 The loss of an endpoint may be a crash or a cut; which one shows only when it is
 back, as a new incarnation or the same one. Entries hear of both: until they know,
-they start the tasks in question only where they can do little harm.
+they start the tasks in question only where they can do little harm. A task that
+crashes its endpoint does so soon after its start.
 """
 
 import collections
@@ -25,10 +26,14 @@
 
 @dataclasses.dataclass
 class _Suspicion:
-    """A loss of the endpoint, and the tasks that had started just before."""
+    """A loss of the endpoint, and the tasks that ran there.
+
+    `tasks` had started just before, the `bystanders` had not.
+    """
 
     incarnation: int
     tasks: list[ids.TaskId]
+    bystanders: list[ids.TaskId]
     is_published: bool = False
 
 
@@ -52,8 +57,11 @@
         """
         suspicion = self.suspicion
         if suspicion is None or suspicion.incarnation != incarnation:
+            since = last_contact_at - timing.CRASH_WINDOW_S
             self.suspicion = _Suspicion(
-                incarnation, _last_started(runs, last_contact_at)
+                incarnation,
+                _tasks_of(run for run in runs if run.started_at >= since),
+                _tasks_of(run for run in runs if 0 < run.started_at < since),
             )
 
     def record_loss(self) -> None:
@@ -95,10 +103,13 @@
             self._send(suspicion, messages.CrashState.refuted)
 
     def _send(self, suspicion: _Suspicion, state: messages.CrashState) -> None:
-        if not suspicion.tasks:
+        if not (suspicion.tasks or suspicion.bystanders):
             return
         notice = messages.CrashNotice(
-            suspicion.incarnation, state, suspicion.tasks
+            suspicion.incarnation,
+            state,
+            suspicion.tasks,
+            suspicion.bystanders,
         )
         for earlier in list(self.recent_notices):
             if earlier.incarnation == notice.incarnation:
@@ -114,15 +125,8 @@
         )
 
 
-def _last_started(runs: Runs, last_contact_at: float) -> list[ids.TaskId]:
-    """Return the tasks that started just before a crash, or all without one.
-
-    A task that crashes its endpoint does so soon after its start.
-    """
-    sent = [run for run in runs if run.started_at]
-    since = last_contact_at - timing.CRASH_WINDOW_S
-    recent = [run for run in sent if run.started_at >= since]
-    return [ids.TaskId(run.job, run.id.task_index) for run in recent or sent]
+def _tasks_of(runs: typing.Iterable[endpoint_runs.Run]) -> list[ids.TaskId]:
+    return [ids.TaskId(run.job, run.id.task_index) for run in runs]
 
 
 def _ignore_notice(notice: messages.CrashNotice) -> None:
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -247,13 +247,15 @@
 class CrashNotice(Message, frozen=True, tag=15):
     """Notice of the loss of an incarnation of an endpoint, sent to all entries.
 
-    `tasks` started just before it, so that one of them may have caused it. A
-    later notice of the incarnation replaces an earlier one.
+    `tasks` started just before it, so that one of them may have caused it;
+    `bystanders` had run for longer. A later notice of the incarnation replaces
+    an earlier one.
     """
 
     incarnation: int
     state: CrashState
     tasks: list[ids.TaskId]
+    bystanders: list[ids.TaskId] = []
 
 
 class ActiveRuns(Message, frozen=True, tag=10):
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -62,6 +62,20 @@
         self.apply('side-2', notice(1, CONFIRMED, TASK))
         self.assertFalse(self.suspects.is_guilty(NEIGHBOUR))
 
+    def test_bystander(self) -> None:
+        """Guards against the end of long tasks that others take down.
+
+        One at which endpoints crash again and again is given up all the same.
+        """
+        for incarnation in range(1, 5):
+            self.assertFalse(self.suspects.is_guilty(NEIGHBOUR))
+            self.assertFalse(self.suspects.is_suspected(NEIGHBOUR, self.now))
+            self.apply(
+                'side-1',
+                messages.CrashNotice(incarnation, CONFIRMED, [], [NEIGHBOUR]),
+            )
+        self.assertTrue(self.suspects.is_guilty(NEIGHBOUR))
+
     def test_refuted(self) -> None:
         """Guards against suspicion after a cut."""
         self.apply('side-1', notice(1, SUSPECTED))
