Soak tasks that crash endpoints, and rewrite announcements alone

A stored job whose task crashes each endpoint that starts it comes each 1 to 3 s beside the soak's other faults. It has to be shown as failed, after five starts of the task at most (the users' bound: three more after three crashes); another job may be given up only if two endpoints have crashed under one of its tasks.

Only announcements are rewritten now; the log line of a job that is given up names the crashes.

--- a/src/poplardrum/dispatch/crash_handling.py
+++ b/src/poplardrum/dispatch/crash_handling.py
@@ -48,5 +48,6 @@
             job=job.id,
             level=logging.WARNING,
             task=task,
+            crashes=self.suspects.crashes(ids.TaskId(job.id, task)),
         )
         job.resolve(jobs.JobOutcome.failed)
--- a/src/poplardrum/dispatch/crash_suspects.py
+++ b/src/poplardrum/dispatch/crash_suspects.py
@@ -148,6 +148,11 @@
             >= _MAX_NEARBY_CRASHES
         )
 
+    def crashes(self, task: ids.TaskId) -> list[ids.CrashId]:
+        """Return the crashes under a task, sorted by the names of the nodes."""
+        suspicion = self._find(task) or _Suspicion()
+        return sorted(suspicion.crashes | suspicion.nearby_crashes)
+
     def guilty_task(self, job: ids.JobId) -> int | None:
         """Return the index of a guilty task of a job, `None` without one."""
         for index in self.by_job.get(job, _NO_SUSPICIONS):
--- a/src/poplardrum/standins/kv.py
+++ b/src/poplardrum/standins/kv.py
@@ -58,9 +58,9 @@
         self.history: list[dict[str, typing.Any]] = []
         self.fault = Fault.none
         self.calls = 0
-        # Applied to each value written over HTTP; tests replace announced
-        # addresses by those of a proxy.
-        self.rewrite: typing.Callable[[str], str] = str
+        # Applied to the key and each value written over HTTP; tests replace
+        # announced addresses by those of a proxy.
+        self.rewrite: typing.Callable[[str, str], str] = _keep_value
 
     def application(self) -> web.Application:
         """Return the HTTP application of the store's calls."""
@@ -184,10 +184,10 @@
             await asyncio.sleep(_POLL_INTERVAL_S)
         self._reset_connection(request)
 
-    def _rewrite_value(self, value_base64: str) -> str:
+    def _rewrite_value(self, key: str, value_base64: str) -> str:
         # Values need not be UTF-8; surrogateescape preserves all bytes.
         text = base64.b64decode(value_base64).decode(errors='surrogateescape')
-        rewritten = self.rewrite(text).encode(errors='surrogateescape')
+        rewritten = self.rewrite(key, text).encode(errors='surrogateescape')
         return base64.b64encode(rewritten).decode()
 
     async def _transact(self, request: web.Request) -> web.Response:
@@ -209,8 +209,9 @@
             if row['Lease'] and row['Lease'] not in self.leases:
                 return web.Response(status=404)
         for row in body['Writes']:
-            value_base64 = self._rewrite_value(row['Value'])
-            self.put(row['Key'], value_base64, row['Lease'])
+            key = row['Key']
+            value_base64 = self._rewrite_value(key, row['Value'])
+            self.put(key, value_base64, row['Lease'])
         for key in body['Remove']:
             self.remove(key)
         return web.json_response({'Revision': self.revision})
@@ -249,3 +250,8 @@
 
 _MAX_PAGE_ITEMS: typing.Final = 500
 _MAX_TRANSACTION_ROWS: typing.Final = 32
+
+
+def _keep_value(_key: str, text: str) -> str:
+    """Return a value as it was written."""
+    return text
--- a/src/poplardrum/standins/worker.py
+++ b/src/poplardrum/standins/worker.py
@@ -43,6 +43,8 @@
     marker: str = ''
     restart_delay_s: float = 1.0
     starts: list[str] = dataclasses.field(default_factory=list)
+    # Crashes the endpoint in place of the stand-in.
+    crash: typing.Callable[[], object] | None = None
 
     def matches(self, specification: str) -> bool:
         """Return whether a task is one of them."""
@@ -186,7 +188,8 @@
             if self.crashing_tasks.matches(body['Specification']):
                 self.crashing_tasks.starts.append(body['Task'])
                 asyncio.get_running_loop().call_later(
-                    _CRASH_DELAY_S, self.crash_for_a_while
+                    _CRASH_DELAY_S,
+                    self.crashing_tasks.crash or self.crash_for_a_while,
                 )
             return self._reply({})
         return self._reply({'Reason': result.value}, status=409)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import contextlib
+import functools
 import pathlib
 import random
 import shutil
@@ -10,8 +11,10 @@
 import time
 import typing
 
+from poplardrum.dispatch import membership
+from poplardrum.platform import job_api
 from poplardrum.standins import site, worker
-from tools.soak import callers, checks, faults, proxy
+from tools.soak import callers, checks, crash_checks, faults, proxy
 
 _ENTRY_COUNT: typing.Final = 3
 _AGENT_COUNT: typing.Final = 5
@@ -46,8 +49,9 @@
                 _MAX_LEASE_S,
             )
             stand_in.random = random.Random(self.random.random())
+            stand_in.crashing_tasks.marker = crash_checks.DEADLY_PREFIX
         self.site.workers[0].labels = [callers.LABEL]
-        self.site.store.rewrite = _through_proxy
+        self.site.store.rewrite = _rewrite_announcement
         self.proxies = [
             proxy.Proxy(
                 (_proxy_ip(entry.settings['IpAddress']), self.site.peers_port),
@@ -75,6 +79,13 @@
             self.ledger,
             self.random,
         )
+        for stand_in in self.site.workers:
+            stand_in.crashing_tasks.crash = functools.partial(
+                self.faults.crash_by_task, stand_in
+            )
+        self.deadly_caller = callers.Caller(
+            _CALLER_COUNT + 2, self.site, self.ledger, random.Random(seed)
+        )
         self.long_faults = faults.LongFaultInjector(
             self.faults, random.Random(seed)
         )
@@ -96,6 +107,7 @@
                 self.faults.run(stop_at),
                 self.long_faults.run(stop_at),
                 self._write_configurations(stop_at),
+                self.deadly_caller.submit_deadly_jobs(stop_at),
                 *(each.run(stop_at + _FAULT_FREE_S) for each in self.callers),
             )
             await self._check_entries_serve(_CALLER_COUNT + 1)
@@ -128,18 +140,35 @@
                 await asyncio.sleep(0.1)
 
     async def _check_stored_jobs(self) -> None:
-        """Check that all accepted stored jobs are completed."""
+        """Check that all accepted stored jobs have the state they should have.
+
+        A job that crashes endpoints has failed; others are completed, unless two
+        endpoints have crashed under one of their tasks.
+        """
         deadline = time.monotonic() + _RECOVERY_TIMEOUT_S
-        observer = self.callers[0]
         for job in self.ledger.stored_jobs:
-            entry = self.random.randrange(_ENTRY_COUNT)
-            while not await observer.is_completed_at(entry, job):
-                if time.monotonic() > deadline:
-                    self.ledger.record_violation(
-                        'stored job not completed', job
-                    )
-                    break
-                await asyncio.sleep(0.1)
+            state = await self._final_state(job, deadline)
+            if state == job_api.FAILED_BODY and (
+                self.ledger.crash_ledger.may_be_given_up(job)
+            ):
+                self.ledger.crash_ledger.given_up_jobs.add(job)
+            elif state != job_api.COMPLETED_BODY:
+                self.ledger.record_violation('stored job not completed', job)
+        for job in self.ledger.crash_ledger.deadly_jobs:
+            if await self._final_state(job, deadline) != job_api.FAILED_BODY:
+                self.ledger.record_violation('job not given up', job)
+
+    async def _final_state(self, job: str, deadline: float) -> bytes:
+        """Return the body with the state of a job, once it is over."""
+        observer = self.callers[0]
+        entry = self.random.randrange(_ENTRY_COUNT)
+        state = b''
+        while time.monotonic() < deadline:
+            state = await observer.state_at(entry, job)
+            if state in {job_api.COMPLETED_BODY, job_api.FAILED_BODY}:
+                break
+            await asyncio.sleep(0.1)
+        return state
 
     async def _wait_for_acknowledgements(self) -> None:
         """Wait until agents have acknowledged the last completions."""
@@ -154,7 +183,12 @@
         served = sum(each.served_jobs for each in self.callers)
         jobs = len(self.ledger.reply_statuses)
         stored = len(self.ledger.stored_jobs)
-        lines = [f'{served} of {jobs} jobs served, {stored} stored']
+        deadly = len(self.ledger.crash_ledger.deadly_jobs)
+        given_up = len(self.ledger.crash_ledger.given_up_jobs)
+        lines = [
+            f'{served} of {jobs} jobs served, {stored} stored, {deadly} crash '
+            f'endpoints, {given_up} others given up'
+        ]
         if self.ledger.violations:
             lines += self.faults.log
             lines += self.ledger.violations
@@ -169,6 +203,11 @@
     return _proxy_ip(text)
 
 
+def _rewrite_announcement(key: str, text: str) -> str:
+    """Announce entries at the addresses of their proxies."""
+    return _proxy_ip(text) if key.startswith(membership.PREFIX) else text
+
+
 def main(arguments: typing.Sequence[str]) -> int:
     """Run soak tests with consecutive seeds; return 1 if one failed."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -7,9 +7,8 @@
 
 import aiohttp
 
-from poplardrum.platform import job_api
 from poplardrum.standins import site
-from tools.soak import checks
+from tools.soak import checks, crash_checks
 
 _RESUBMIT_INTERVAL_S: typing.Final = 1.3
 _CLIENT_TIMEOUT_MS: typing.Final = 4000
@@ -24,6 +23,8 @@
 _LONG_SHARE: typing.Final = 0.3
 _LONG_RUN_S: typing.Final = 0.9
 LABEL: typing.Final = 'b'
+# Pause between two jobs that crash endpoints.
+_DEADLY_INTERVAL_S: typing.Final = (1.0, 3.0)
 _NO_REPLY: typing.Final = 0
 _RETRIED_STATUSES: typing.Final = frozenset((_NO_REPLY, 502, 504))
 
@@ -67,8 +68,21 @@
         async with aiohttp.ClientSession() as client:
             return await self._submit(client, entry, job, 1) == 200
 
-    async def is_completed_at(self, entry: int, job: str) -> bool:
-        """Return whether an entry reports a stored job as completed."""
+    async def submit_deadly_jobs(self, stop_at: float) -> None:
+        """Submit stored jobs of one task that crashes endpoints."""
+        async with aiohttp.ClientSession() as client:
+            number = 0
+            while time.monotonic() < stop_at:
+                await asyncio.sleep(self.random.uniform(*_DEADLY_INTERVAL_S))
+                number += 1
+                job = f'{crash_checks.DEADLY_PREFIX}{number:08x}'
+                self.ledger.submitted_jobs.add(job)
+                entry = self.random.randrange(len(self.site.entries))
+                if await self._submit(client, entry, job, 1, True) == 200:
+                    self.ledger.crash_ledger.deadly_jobs.add(job)
+
+    async def state_at(self, entry: int, job: str) -> bytes:
+        """Return the body with the state of a stored job at an entry."""
         async with (
             aiohttp.ClientSession() as client,
             client.get(
@@ -76,7 +90,7 @@
                 headers=site.ROUTE_HEADERS,
             ) as response,
         ):
-            return await response.read() == job_api.COMPLETED_BODY
+            return await response.read()
 
     async def _submit_with_retries(
         self, client: aiohttp.ClientSession, job: str
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -5,6 +5,7 @@
 import typing
 
 from poplardrum.standins import leased_endpoint
+from tools.soak import crash_checks
 
 _DRAIN_TIMEOUT_S: typing.Final = 2.0
 
@@ -32,6 +33,7 @@
         self.run_durations: dict[str, float] = {}
         self.failing_jobs: set[str] = set()
         self.failed_tasks: set[str] = set()
+        self.crash_ledger = crash_checks.CrashLedger()
         self.endpoints: list[WatchedEndpoint] = []
         self.started_at = time.monotonic()
 
@@ -50,6 +52,8 @@
         """Check a start against submissions, capacity and other runs."""
         job = run_id.task.partition('.')[0]
         self.started_jobs.add(job)
+        if self.crash_ledger.exceeds_starts(run_id.task):
+            self.record_violation('task that crashes endpoints', str(run_id))
         if specification not in self.submitted_jobs or specification != job:
             self.record_violation(
                 'start of a task that was not submitted',
@@ -85,7 +89,12 @@
                     'completions not acknowledged',
                     str(len(endpoint.unacknowledged())),
                 )
+        self._check_finished_tasks()
+
+    def _check_finished_tasks(self) -> None:
         for job, tasks in self.stored_jobs.items():
+            if job in self.crash_ledger.given_up_jobs:
+                continue
             names = {f'{job}.0.0.{index}' for index in range(tasks)}
             if not names <= self.finished_tasks:
                 self.record_violation(
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -28,6 +28,7 @@
         self.ledger = ledger
         self.random = rng
         self.log: list[str] = []
+        self.crashes: set[asyncio.Task[None]] = set()
         self.pending: set[asyncio.Task[None]] = set()
         self.fault_kinds: list[Fault] = [
             self.kill_process,
@@ -135,6 +136,12 @@
         stand_in.lost_share = 0.0
         stand_in.late_share = 0.0
 
+    def crash_by_task(self, stand_in: worker.WorkerStandIn) -> None:
+        """Crash an endpoint by a task that it has started."""
+        task = asyncio.ensure_future(self._replace_endpoint(stand_in))
+        self.crashes.add(task)
+        task.add_done_callback(self.crashes.discard)
+
     def _choose_host(self) -> site.Host:
         host = self.random.choice([*self.site.entries, *self.site.agents])
         self.record(host.settings['NodeName'])
@@ -148,6 +155,9 @@
             return
         stand_in.crash()
         previous = typing.cast(checks.WatchedEndpoint, stand_in.endpoint)
+        self.ledger.crash_ledger.crashes.update(
+            run_id.task for run_id in previous.running
+        )
         previous.running.clear()
         self.ledger.endpoints.remove(previous)
         await asyncio.sleep(
