See two guards of suspected tasks that tests had missed

Eight guards were taken out one at a time: the reservation of starts, the quiet before it, open losses, crashes of the record, drained endpoints, the window of 0.1 s, one suspected task at a time, and notices of a crash that is known. Tests failed for all but the last two; now for these as well.

--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -52,6 +52,8 @@
         """Guards against one crash that counts twice, as after a reconnect."""
         for _ in range(3):
             self.apply('side-1', notice(1, CONFIRMED))
+        self.apply('side-1', notice(1, SUSPECTED))
+        self.assertTrue(self.suspects.may_start(TASK, self.now))
         self.assertFalse(self.suspects.is_guilty(TASK))
         self.apply('side-1', notice(2, CONFIRMED))
         self.assertTrue(self.suspects.is_guilty(TASK))
@@ -150,6 +152,7 @@
         await self.lose_runs()
         await dispatch_world.wait_until(self.isolated_starts)
         for _ in range(5):
+            self.entry.coordinator.placer.schedule()
             await asyncio.sleep(0)
         self.assertEqual(len(self.isolated_starts()), 1)
         await dispatch_world.wait_until(
