--- a/src/poplardrum/dispatch/crash_suspects.py
+++ b/src/poplardrum/dispatch/crash_suspects.py
@@ -35,8 +35,8 @@
 class _Suspicion:
     """Losses of endpoints by their id: crashes, and those not yet explained.
 
-    The task had run for a while at `nearby_crashes`. `open_losses` has the time
-    until which they count, `suspected_at` the time of the last loss.
+    At `nearby_crashes` the task had run for a while. `open_losses` has the time
+    until which each one counts, `suspected_at` is the time of the last loss.
     """
 
     suspected_at: float = -math.inf
--- a/src/poplardrum/dispatch/crash_watch.py
+++ b/src/poplardrum/dispatch/crash_watch.py
@@ -17,7 +17,7 @@
 
 logger = logging.getLogger(__name__)
 
-# Notices that entries which link later still hear of.
+# Last notices, which are sent again to entries that link later.
 _MAX_RECENT_NOTICES: typing.Final = 32
 
 Publish = typing.Callable[[messages.CrashNotice], None]
--- a/src/poplardrum/dispatch/timing.py
+++ b/src/poplardrum/dispatch/timing.py
@@ -31,18 +31,18 @@
 RECONNECT_TIMEOUT_S: typing.Final = 0.4
 # A process that did not check its links for this long was paused.
 PAUSED_AFTER_S: typing.Final = 0.5
-# An entry that no agent was heard by for this long may have been cut off.
+# An entry that has heard of no agent for this long may have been cut off.
 ISOLATED_AFTER_S: typing.Final = 1.0
-# A caller submits its job again this much later than a request may be old
-# before it counts as stale. It covers a pause that is too short to be noticed.
+# A request counts as stale this long before its caller could have submitted the
+# job again. This covers pauses that are too short to be noticed.
 RESUBMISSION_MARGIN_S: typing.Final = 0.3
 # Time in which the end of a connection that closely follows a late request is
 # read: a round trip to the caller and some passes of the event loop.
 CALLER_CHECK_S: typing.Final = 0.015
 # Longest time to retry the stop of a run before the lease is suspended.
 TOTAL_STOP_TIMEOUT_S: typing.Final = 0.25
-# A task that crashes its endpoint does so this soon after its start. No other task
-# starts there for as long before and after one that is suspected of it.
+# A task that crashes its endpoint does so within this time after its start. Before
+# and after the start of a suspected task, no other one starts there for as long.
 CRASH_WINDOW_S: typing.Final = 0.1
 # Duration of the lease on the runs of an endpoint, unless the endpoint allows
 # less. A short lease bounds how long runs of a lost endpoint may go on; this
