--- a/src/poplardrum/dispatch/crash_watch.py
+++ b/src/poplardrum/dispatch/crash_watch.py
@@ -28,7 +28,8 @@
 class _Suspicion:
     """A loss of the endpoint, and the tasks that ran there.
 
-    `tasks` had started just before, the `bystanders` had not.
+    `tasks` had started just before. The `bystanders` had run for longer, or it
+    is not known whether they had started.
     """
 
     incarnation: int
@@ -58,10 +59,12 @@
         suspicion = self.suspicion
         if suspicion is None or suspicion.incarnation != incarnation:
             since = last_contact_at - timing.CRASH_WINDOW_S
+            sent = [run for run in runs if run.started_at]
+            recent = [run for run in sent if _has_started_since(run, since)]
             self.suspicion = _Suspicion(
                 incarnation,
-                _tasks_of(run for run in runs if run.started_at >= since),
-                _tasks_of(run for run in runs if 0 < run.started_at < since),
+                _tasks_of(recent),
+                _tasks_of(run for run in sent if run not in recent),
             )
 
     def record_loss(self) -> None:
@@ -125,6 +128,13 @@
         )
 
 
+def _has_started_since(run: endpoint_runs.Run, since: float) -> bool:
+    """Return whether a run is known to have started, not before a time."""
+    return (
+        run.state is endpoint_runs.RunState.running and run.started_at >= since
+    )
+
+
 def _tasks_of(runs: typing.Iterable[endpoint_runs.Run]) -> list[ids.TaskId]:
     return [ids.TaskId(run.job, run.id.task_index) for run in runs]
 
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -248,8 +248,8 @@
     """Notice of the loss of an incarnation of an endpoint, sent to all entries.
 
     `tasks` started just before it, so that one of them may have caused it;
-    `bystanders` had run for longer. A later notice of the incarnation replaces
-    an earlier one.
+    `bystanders` had run for longer, or may not have started. A later notice of
+    the incarnation replaces an earlier one.
     """
 
     incarnation: int
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -77,6 +77,15 @@
             ],
         )
 
+    async def test_start_without_a_reply(self) -> None:
+        """Guards against a crash laid on a task that had never started there."""
+        self.world.endpoint.faults['start'] = ['lost']
+        self.world.start_tasks(1)
+        await self.lose_endpoint()
+        self.restart_endpoint()
+        self.assertEqual(self.notices[-1].tasks, [])
+        self.assertEqual(self.notices[-1].bystanders, [ids.TaskId(JOB_ID, 0)])
+
     async def test_cut(self) -> None:
         """Guards against a cut that counts as a crash."""
         await self.start_and_wait(JOB_ID)
