Keep completions apart whose endpoints started in the same millisecond

Cause: the id of a completion is the start of its endpoint in milliseconds and a number, and an entry kept completions by that id alone, so one of two equal ones was lost.

Change: the key has the node of the agent.

--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -42,8 +42,8 @@
 
     job: jobs.Job
     pending: record_writer.PendingRecord
-    unstored: dict[messages.CompletionId, fleet.Agent] = dataclasses.field(
-        default_factory=dict
+    unstored: dict[unclaimed_completions.CompletionKey, fleet.Agent] = (
+        dataclasses.field(default_factory=dict)
     )
     confirmed: bool = True
 
@@ -140,7 +140,8 @@
             record.checkpoints[task.index] = completion.checkpoint
         if completion.completion_id is None:
             return
-        owned.unstored[completion.completion_id] = agent
+        key = (agent.node, completion.completion_id)
+        owned.unstored[key] = agent
         is_done = completion.outcome is messages.Outcome.done
         record.add_completion(completion.run, is_done=is_done)
         if not is_done:
@@ -154,7 +155,7 @@
                 max_attempts=job.max_attempts,
             )
         if not job.outcome.done():
-            self.spawn(self._commit(owned, completion.completion_id))
+            self.spawn(self._commit(owned, key))
 
     def record_crash(
         self, job: jobs.Job, task: int, crash: ids.CrashId
@@ -265,17 +266,14 @@
             self.relinquish(owned)
 
     def _apply_unclaimed(self, owned: OwnedJob) -> None:
-        for completion_id, (agent, message) in self.unclaimed.pop(
-            owned.job.id
-        ).items():
-            self._apply_completion(owned, agent, message, completion_id)
+        for agent, message in self.unclaimed.pop(owned.job.id):
+            self._apply_completion(owned, agent, message)
 
     def _apply_completion(
         self,
         owned: OwnedJob,
         agent: fleet.Agent,
         message: messages.UnackedCompletion,
-        completion_id: messages.CompletionId,
     ) -> None:
         """Apply a completion of a run that this entry may not have started.
 
@@ -289,10 +287,10 @@
             return
         run_id = messages.RunId(task.index, message.run_number)
         if owned.pending.record.has_completion(run_id):
-            _handle_redelivery(owned, agent, completion_id)
+            _handle_redelivery(owned, agent, message.completion_id)
             return
         completion = messages.Completion(
-            owned.job.id, run_id, message.outcome, completion_id
+            owned.job.id, run_id, message.outcome, message.completion_id
         )
         unstarted_run_number = (
             owned.pending.record.epoch * records.RUNS_PER_OWNER
@@ -322,13 +320,13 @@
             owned.job.resolve(jobs.JobOutcome.failed)
 
     async def _commit(
-        self, owned: OwnedJob, completion_id: messages.CompletionId
+        self, owned: OwnedJob, key: unclaimed_completions.CompletionKey
     ) -> None:
         """Store the record, which has a completion; then acknowledge it."""
         if await self._store(owned):
-            agent = owned.unstored.pop(completion_id, None)
+            agent = owned.unstored.pop(key, None)
             if agent is not None:
-                unclaimed_completions.acknowledge([(agent, completion_id)])
+                unclaimed_completions.acknowledge([(agent, key[1])])
 
     async def _store(self, owned: OwnedJob) -> bool:
         """Store the record; stop running the job if it has another owner."""
@@ -359,7 +357,7 @@
             unclaimed_completions.acknowledge(
                 [
                     (agent, completion_id)
-                    for completion_id, agent in owned.unstored.items()
+                    for (_, completion_id), agent in owned.unstored.items()
                 ]
             )
             self.mark_finished(owned.job.id, record.state)
@@ -392,7 +390,8 @@
     The sender may be a new process of the agent, which has to be acknowledged
     in place of the earlier one.
     """
-    if completion_id in owned.unstored:
-        owned.unstored[completion_id] = agent
+    key = (agent.node, completion_id)
+    if key in owned.unstored:
+        owned.unstored[key] = agent
     else:
         unclaimed_completions.acknowledge([(agent, completion_id)])
--- a/src/poplardrum/dispatch/unclaimed_completions.py
+++ b/src/poplardrum/dispatch/unclaimed_completions.py
@@ -11,6 +11,9 @@
 # their owners may be gone.
 _MAX_JOBS: typing.Final = 2048
 
+# A completion of an endpoint, by the node of its agent: the ids of two endpoints
+# that started in the same millisecond may be equal.
+CompletionKey = tuple[str, messages.CompletionId]
 AgentCompletion = tuple[fleet.Agent, messages.CompletionId]
 AgentMessage = tuple[fleet.Agent, messages.UnackedCompletion]
 
@@ -21,7 +24,7 @@
     def __init__(self) -> None:
         """Start without completions."""
         self.by_job: collections.OrderedDict[
-            ids.JobId, dict[messages.CompletionId, AgentMessage]
+            ids.JobId, dict[CompletionKey, AgentMessage]
         ] = collections.OrderedDict()
         # Jobs whose records have to be read.
         self.jobs_to_look_up: dict[ids.JobId, None] = {}
@@ -32,7 +35,7 @@
     ) -> None:
         """Keep a completion; the oldest job is dropped beyond a limit."""
         unclaimed = self.by_job.setdefault(message.job, {})
-        unclaimed[message.completion_id] = (agent, message)
+        unclaimed[agent.node, message.completion_id] = (agent, message)
         while len(self.by_job) > _MAX_JOBS:
             self.by_job.popitem(last=False)
 
@@ -51,17 +54,14 @@
             self.has_jobs_to_look_up.clear()
         return popped
 
-    def pop(self, job: ids.JobId) -> dict[messages.CompletionId, AgentMessage]:
+    def pop(self, job: ids.JobId) -> list[AgentMessage]:
         """Remove and return the completions of a job."""
-        return self.by_job.pop(job, {})
+        return list(self.by_job.pop(job, {}).values())
 
     def acknowledge(self, job: ids.JobId) -> None:
         """Acknowledge completions of a job that does not need them any more."""
         acknowledge(
-            [
-                (agent, completion_id)
-                for completion_id, (agent, _) in self.pop(job).items()
-            ]
+            [(agent, message.completion_id) for agent, message in self.pop(job)]
         )
 
 
