Blame the last isolated task alone for a crash that is noticed late

No log of it is left. By reading: the agent measures what is recent from its last contact; if it is busy, that lies back further, and a suspected task that started apart 0.15 s earlier was blamed as well, for the second time.

Change: if tasks that started apart are among the recent ones, the last of them is blamed, and the others are bystanders.

Test: TestBusyAgent, red without the change.

--- a/src/poplardrum/dispatch/crash_watch.py
+++ b/src/poplardrum/dispatch/crash_watch.py
@@ -60,7 +60,9 @@
         if suspicion is None or suspicion.incarnation != incarnation:
             since = last_contact_at - timing.CRASH_WINDOW_S
             sent = [run for run in runs if run.started_at]
-            recent = [run for run in sent if _has_started_since(run, since)]
+            recent = _prime_suspects(
+                [run for run in sent if _has_started_since(run, since)]
+            )
             self.suspicion = _Suspicion(
                 incarnation,
                 _tasks_of(recent),
@@ -135,6 +137,20 @@
     )
 
 
+def _prime_suspects(
+    recent: list[endpoint_runs.Run],
+) -> list[endpoint_runs.Run]:
+    """Return the last isolated run alone, all runs if none is isolated.
+
+    An agent that is busy notices a crash late, so that runs which started apart
+    from each other may all seem recent.
+    """
+    isolated = [run for run in recent if run.is_isolated]
+    if not isolated:
+        return recent
+    return [max(isolated, key=lambda run: run.started_at)]
+
+
 def _tasks_of(runs: typing.Iterable[endpoint_runs.Run]) -> list[ids.TaskId]:
     return [ids.TaskId(run.job, run.id.task_index) for run in runs]
 
--- a/src/poplardrum/dispatch/endpoint_runs.py
+++ b/src/poplardrum/dispatch/endpoint_runs.py
@@ -37,7 +37,8 @@
 
     Reports that are requested at `listed_from` or later list the run if it is
     at the endpoint. `link` is the connection on which the command to start it
-    came, `added_at` when it came. `fencing_token` is that of its last start request.
+    came, `added_at` when it came. A run `is_isolated` if no other one was to start
+    just before and after it. `fencing_token` is that of its last start request.
     `straggler_reported_at` is when its entry was last notified that the run is
     a straggler.
     """
@@ -52,6 +53,7 @@
     stored: bool = False
     checkpoint: str = ''
     link: connections.Link | None = None
+    is_isolated: bool = False
     added_at: float = dataclasses.field(default_factory=clocks.now)
     state: RunState = RunState.starting
     stopping: bool = False
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -112,6 +112,7 @@
                 request.stored,
                 request.checkpoints.get(run_id.task_index, ''),
                 session.link,
+                request.isolation is not messages.Isolation.none,
             )
             self.runs.add(run)
             self._spawn(self._start_run(run, request))
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -5,7 +5,12 @@
 import unittest
 
 from poplardrum import ids
-from poplardrum.dispatch import messages, timing
+from poplardrum.dispatch import (
+    crash_watch,
+    endpoint_runs,
+    messages,
+    timing,
+)
 from poplardrum.standins import leased_endpoint
 from tests import dispatch_world
 
@@ -132,6 +137,37 @@
         self.assertEqual(self.states().count(messages.CrashState.confirmed), 2)
 
 
+class TestBusyAgent(unittest.TestCase):
+    """A crash that is noticed so late that several runs seem recent."""
+
+    def test_isolated_runs(self) -> None:
+        """Guards against the end of a job beside a guilty one (LOST).
+
+        Both had started apart, as tasks that are suspected.
+        """
+        world = dispatch_world.World()
+        runs = [
+            endpoint_runs.Run(
+                world.session,
+                job,
+                messages.RunId(0, 2),
+                dispatch_world.DEMAND,
+                0.05,
+                state=endpoint_runs.RunState.running,
+                started_at=started_at,
+                is_isolated=True,
+            )
+            for job, started_at in ((OTHER_JOB, 1000.0), (JOB_ID, 1000.15))
+        ]
+        watch = crash_watch.CrashWatch()
+        notices: list[messages.CrashNotice] = []
+        watch.publish = notices.append
+        watch.record_failure(1, runs, last_contact_at=1000.05)
+        watch.record_loss()
+        self.assertEqual(notices[0].tasks, [ids.TaskId(JOB_ID, 0)])
+        self.assertEqual(notices[0].bystanders, [ids.TaskId(OTHER_JOB, 0)])
+
+
 class TestIsolation(CrashCase):
     """Starts of tasks that are suspected of crashes."""
 
