Read what has arrived after a hold before the job may start

The trace: the entry had no processor time for over 15 ms, so the end of the hold and that of the connection came due in the same pass of the loop, and the request went on before the connection was read.

Change: four passes of the event loop follow the hold; the end of a connection that has arrived cancels the request in them.

--- a/src/poplardrum/dispatch/stale_requests.py
+++ b/src/poplardrum/dispatch/stale_requests.py
@@ -13,6 +13,7 @@
 import asyncio
 import logging
 import math
+import typing
 import weakref
 
 from poplardrum import log_events
@@ -20,6 +21,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Passes of the event loop in which the end of a connection that has arrived is read
+# and cancels the request, however late the hold has ended.
+_READ_PASSES: typing.Final = 4
+
 
 class StaleRequests:
     """Hold requests that may be stale until their callers are known to wait."""
@@ -69,3 +74,5 @@
             after_pause_or_cut=is_in_doubt,
         )
         await asyncio.sleep(timing.CALLER_CHECK_S)
+        for _ in range(_READ_PASSES):
+            await asyncio.sleep(0)
--- a/tests/test_departed_callers.py
+++ b/tests/test_departed_callers.py
@@ -225,6 +225,23 @@
                 await asyncio.sleep(0.05)
                 self.assertEqual(self.entry.started_runs(), [])
 
+    async def test_entry_that_is_busy_during_the_hold(self) -> None:
+        """Guards against a start before the end of a connection is read.
+
+        The entry had no processor time until the hold was over.
+        """
+        self.entry.report_room()
+        loop = asyncio.get_running_loop()
+        for leave in (Caller.close, Caller.reset):
+            caller = Caller(self.entry.address)
+            caller.submit()
+            # All timers below are overdue together afterwards.
+            loop.call_later(0.004, time.sleep, 0.03)
+            await asyncio.sleep(0.006)
+            leave(caller)
+            await asyncio.sleep(0.05)
+            self.assertEqual(self.entry.started_runs(), [])
+
     async def test_request_that_waited_for_the_entry(self) -> None:
         """Guards against the start of a job whose request was read too late.
 
