Resume stored jobs whose doubt was over before the next check

What callers saw: an accepted job stayed `queued` for good, with room at its endpoints (LOST).

Cause: a job that is stored while its entry is not announced for a moment is not confirmed, and starts nothing. `Ownership` resumed unconfirmed jobs only when a check saw the validity change from invalid to valid. Checks run each 0.1 to 0.25 s; a doubt that begins and ends between two of them (an entry that wakes after more than 4.5 s, with its announcement read back within milliseconds) left the job unconfirmed for ever.

Fix: each check looks at each owned job. One write at a time finds out whether the record still names this entry.

--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -37,7 +37,8 @@
 
     `unstored` has the completions that were applied and that the store may not
     have yet, with the agents that expect their acknowledgements. The job is
-    not `confirmed` while another entry may have taken it over.
+    not `confirmed` while another entry may have taken it over; a write that is
+    to find that out `is_reclaiming` it.
     """
 
     job: jobs.Job
@@ -46,6 +47,7 @@
         dataclasses.field(default_factory=dict)
     )
     confirmed: bool = True
+    is_reclaiming: bool = False
 
 
 class Ownership:
@@ -229,41 +231,49 @@
             await asyncio.sleep(
                 interval if self.owned_jobs else _IDLE_VALIDITY_INTERVAL_S
             )
-            self._check_validity()
+            self.check_validity()
 
-    def _check_validity(self) -> None:
+    def check_validity(self) -> None:
+        """Stop or resume the owned jobs by whether this entry may own them.
+
+        A job may have been stored in a moment of doubt that no check has seen,
+        so each one is looked at, not only changes of the validity.
+        """
         valid = self.can_own_jobs()
-        if valid == self.could_own_jobs:
-            return
-        self.could_own_jobs = valid
-        log_events.emit(
-            logger,
-            'ownership valid' if valid else 'ownership uncertain',
-            level=logging.INFO if valid else logging.WARNING,
-            jobs=len(self.owned_jobs),
-        )
-        for owned in list(self.owned_jobs.values()):
-            if valid:
-                self._start_reclaim(owned)
-            else:
-                owned.confirmed = False
-                self.coordinator.stop_tasks(owned.job)
-
-    def _start_reclaim(self, owned: OwnedJob) -> None:
-        """Resume a job if the record still names this entry as its owner."""
-        if not owned.confirmed:
-            self.spawn(self._reclaim(owned))
+        if valid != self.could_own_jobs:
+            self.could_own_jobs = valid
+            log_events.emit(
+                logger,
+                'ownership valid' if valid else 'ownership uncertain',
+                level=logging.INFO if valid else logging.WARNING,
+                jobs=len(self.owned_jobs),
+            )
+            if not valid:
+                self._stop_all()
+        if valid:
+            self._reclaim_unconfirmed()
+
+    def _stop_all(self) -> None:
+        for owned in self.owned_jobs.values():
+            owned.confirmed = False
+            self.coordinator.stop_tasks(owned.job)
+
+    def _reclaim_unconfirmed(self) -> None:
+        for owned in self.owned_jobs.values():
+            if not (owned.confirmed or owned.is_reclaiming):
+                owned.is_reclaiming = True
+                self.spawn(self._reclaim(owned))
 
     async def _reclaim(self, owned: OwnedJob) -> None:
-        if (
-            await self.writer.put(owned.pending)
-            is record_writer.WriteResult.committed
-        ):
-            owned.confirmed = True
-            self.coordinator.placer.add(owned.job)
-            self.coordinator.placer.schedule()
-        else:
+        """Resume a job if the record still names this entry as its owner."""
+        result = await self.writer.put(owned.pending)
+        owned.is_reclaiming = False
+        if result is not record_writer.WriteResult.committed:
             self.relinquish(owned)
+            return
+        owned.confirmed = True
+        self.coordinator.placer.add(owned.job)
+        self.coordinator.placer.schedule()
 
     def _apply_unclaimed(self, owned: OwnedJob) -> None:
         for agent, message in self.unclaimed.pop(owned.job.id):
--- a/tests/test_stored_jobs.py
+++ b/tests/test_stored_jobs.py
@@ -213,6 +213,24 @@
         self.assertNotIn(records.CANCELS_PREFIX + JOB_ID, self.store.values)
 
 
+    async def test_doubt_between_two_checks(self) -> None:
+        """Guards against an accepted job that no entry ever runs.
+
+        It was stored in a moment of doubt that was over before the next check
+        of the validity, which looked for a change alone.
+        """
+        self.entry.ownership.could_own_jobs = True
+        self.entry.can_own_jobs = False
+        await self.entry.create_owned_job(tasks=1)
+        self.entry.can_own_jobs = True
+        monitoring = asyncio.ensure_future(
+            self.entry.ownership.monitor_validity(0.001)
+        )
+        self.addCleanup(monitoring.cancel)
+        await dispatch_world.wait_until(lambda: self.started_runs(self.link))
+        self.assertEqual(self.started_runs(self.link), [1])
+
+
 class TestRequests(stored_world.StoredCase):
     """Responses to callers."""
 
