Confirm a stored job only if its entry may own jobs after the write

What could be seen: two entries run tasks of one stored job (TWICE).

Cause: an entry in doubt writes a job's record to find out whether it is still the owner. A new doubt while that write was on its way marked the job unconfirmed; the reply of the write then confirmed it again. When the doubt was over the job went on without another look, though an entry that had found the announcement gone could have taken it over after the write.

Evidence: test_doubt_while_a_job_is_reclaimed failed on (`may_start` was True), passes now.

Fix: the reply confirms the job only if the entry may own jobs by then; else the next check that finds it valid writes again.

--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -271,7 +271,8 @@
         if result is not record_writer.WriteResult.committed:
             self.relinquish(owned)
             return
-        owned.confirmed = True
+        # In a new doubt the job may be taken over after this write.
+        owned.confirmed = self.can_own_jobs()
         self.coordinator.placer.add(owned.job)
         self.coordinator.placer.schedule()
 
--- a/tests/test_stored_jobs.py
+++ b/tests/test_stored_jobs.py
@@ -230,6 +230,22 @@
         await dispatch_world.wait_until(lambda: self.started_runs(self.link))
         self.assertEqual(self.started_runs(self.link), [1])
 
+    async def test_doubt_while_a_job_is_reclaimed(self) -> None:
+        """Guards against a job that runs on after a doubt that was not resolved.
+
+        Another entry may have taken the job over since the write.
+        """
+        owned = await self.entry.create_owned_job(tasks=1)
+        job_ownership = self.entry.ownership
+        job_ownership.could_own_jobs = True
+        commits = self.store.commits
+        for self.entry.can_own_jobs in (False, True, False):
+            job_ownership.check_validity()
+        await dispatch_world.wait_until(lambda: self.store.commits > commits)
+        await asyncio.sleep(0.02)
+        self.entry.can_own_jobs = True
+        self.assertFalse(job_ownership.may_start(owned.job))
+
 
 class TestRequests(stored_world.StoredCase):
     """Responses to callers."""
