Ignore a start that comes twice while its run is active

What could be seen: two runs of one task at once (TWICE), or a task that is placed again and again.

Cause: an agent that got a command to start a run which it was already tracking refused it as a conflict with itself. The entry took that for the refusal of the active run and placed the task again.

Fix: a start of the same run by the same entry is idempotent. The call that makes a run of a request moves beside `Run`.

--- a/src/poplardrum/dispatch/endpoint_runs.py
+++ b/src/poplardrum/dispatch/endpoint_runs.py
@@ -92,6 +92,27 @@
         )
 
 
+def requested_run(
+    session: entry_sessions.EntrySession,
+    request: messages.StartTasks,
+    run_id: messages.RunId,
+) -> Run:
+    """Return a run that an entry has just asked for."""
+    return Run(
+        session,
+        request.job,
+        run_id,
+        request.demand,
+        request.estimate,
+        request.step,
+        request.first_index,
+        request.stored,
+        request.checkpoints.get(run_id.task_index, ''),
+        session.link,
+        request.isolation is not messages.Isolation.none,
+    )
+
+
 def parse_task_name(name: str) -> tuple[ids.JobId, int, int] | None:
     """Return the job, the step and the index in the step of a task name.
 
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -97,23 +97,14 @@
         refused: dict[messages.Refusal, list[messages.RunId]] = {}
         run_events.log_tasks_received(session, request)
         for run_id in request.runs:
+            if self.runs.find(session, request.job, run_id) is not None:
+                # The command was repeated.
+                continue
             reason = self._refusal_reason(session, request, run_id)
             if reason is not None:
                 refused.setdefault(reason, []).append(run_id)
                 continue
-            run = endpoint_runs.Run(
-                session,
-                request.job,
-                run_id,
-                request.demand,
-                request.estimate,
-                request.step,
-                request.first_index,
-                request.stored,
-                request.checkpoints.get(run_id.task_index, ''),
-                session.link,
-                request.isolation is not messages.Isolation.none,
-            )
+            run = endpoint_runs.requested_run(session, request, run_id)
             self.runs.add(run)
             self._spawn(self._start_run(run, request))
         for reason, runs in refused.items():
