Audit placed runs, so that no accepted job can stand still

Cause that remains: an entry counts a task as placed until its agent says otherwise. Any fault that loses such a message leaves the job standing for ever, since nobody looks again.

Change: an entry asks agents each second about runs that were placed over 2 s ago; an agent refuses those that it neither tracks nor retains a completion of. A link keeps its order and is read to its end before the next one is served, so an unknown run has ended or never arrives: no second run. A load is repeated after 5 s with a frame that is sent anyway.

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -17,6 +17,7 @@
     keepalive,
     load_reports,
     messages,
+    run_checks,
     timing,
 )
 from poplardrum.platform import settings_file
@@ -187,6 +188,13 @@
                 self.executor.start(session, message)
             case messages.StopTasks():
                 self.executor.stop(session, message)
+            case messages.CheckRuns():
+                run_checks.refuse_unknown(
+                    self.executor.runs,
+                    self.executor.completions,
+                    session,
+                    message,
+                )
             case messages.Entries():
                 self.update_entries(message)
             case messages.CompletionsAcknowledged():
--- a/src/poplardrum/dispatch/completions.py
+++ b/src/poplardrum/dispatch/completions.py
@@ -106,6 +106,14 @@
             else self.last_listed
         )
 
+    def retains(self, job: ids.JobId, run_number: int) -> bool:
+        """Return whether a completion of a run with this number is retained."""
+        return any(
+            retained.message.job == job
+            and retained.message.run_number == run_number
+            for retained in self.unacknowledged.values()
+        )
+
     def is_backlogged(self) -> bool:
         """Return whether the endpoint retains too many completions."""
         return (
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -24,6 +24,10 @@
 
 # An earlier run of the task is being stopped.
 _CONFLICT_RETRY_DELAY_S: typing.Final = 0.02
+# Refusals that say nothing about the node.
+_BLAMELESS_REFUSALS: typing.Final = frozenset(
+    (messages.Refusal.no_room, messages.Refusal.unknown),
+)
 # Lower bound of a reported slowness, by which durations are divided.
 _MIN_SLOWNESS: typing.Final = 0.05
 
@@ -203,7 +207,7 @@
             if found is None:
                 continue
             job, task = found
-            if refusal.reason is not messages.Refusal.no_room:
+            if refusal.reason not in _BLAMELESS_REFUSALS:
                 task.avoided_nodes.add(agent.node)
             if refusal.reason is messages.Refusal.conflict:
                 self._requeue_later(job, task)
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -136,6 +136,7 @@
                 functools.partial(settings.watch, lifecycle.reload_event()),
             ),
             ('keep-alive', agent_links.keep_alive.run),
+            ('run audit', agent_links.run_audit.run),
             (
                 'learned durations',
                 prediction_sharing.PredictionSharing(
--- a/src/poplardrum/dispatch/links.py
+++ b/src/poplardrum/dispatch/links.py
@@ -10,6 +10,7 @@
     fleet,
     keepalive,
     messages,
+    run_audit,
     timing,
 )
 
@@ -32,6 +33,7 @@
         self.links: set[connections.Link] = set()
         self.entries = messages.Entries(0, [])
         self.keep_alive = keepalive.KeepAlive()
+        self.run_audit = run_audit.RunAudit(job_coordinator)
         self.keep_alive.continuity = job_coordinator.continuity
 
     async def serve(
--- a/src/poplardrum/dispatch/load_reports.py
+++ b/src/poplardrum/dispatch/load_reports.py
@@ -22,6 +22,9 @@
 _MAX_THROTTLED_ENTRIES: typing.Final = 40
 _SAME_ZONE_INTERVAL_PER_ENTRY_S: typing.Final = 0.0015
 _OTHER_ZONE_INTERVAL_PER_ENTRY_S: typing.Final = 0.008
+# A load that has not changed is sent again with a frame that is sent anyway, so
+# that no entry can miss it for good.
+REFRESH_INTERVAL_S: typing.Final = 5.0
 # While an endpoint is less busy than this, a change rarely decides whether a
 # task fits, so reports wait longer.
 _SCARCE_FREE_FRACTION: typing.Final = 0.3
@@ -110,7 +113,8 @@
     def changed_load(self, link: connections.Link) -> messages.Load | None:
         """Return the load for the entry at a link unless it has it already."""
         load = self.load(link)
-        if load == link.load_sent:
+        age = clocks.now() - link.load_sent_at
+        if load == link.load_sent and age < REFRESH_INTERVAL_S:
             return None
         return self._record_sent(link, load)
 
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -149,12 +149,16 @@
 
 
 class Refusal(enum.IntEnum):
-    """Why an agent did not start a run."""
+    """Why an agent did not start a run.
+
+    An `unknown` run is neither active nor retained when an entry asks for it.
+    """
 
     no_room = 1
     not_accepting = 2
     conflict = 3
     endpoint = 4
+    unknown = 5
 
 
 class Refused(Message, frozen=True, tag=7):
@@ -264,6 +268,12 @@
     runs: list[tuple[ids.JobId, RunId]]
 
 
+class CheckRuns(Message, frozen=True, tag=16):
+    """Question about runs of the sender; those that are not here are refused."""
+
+    runs: list[tuple[ids.JobId, RunId]]
+
+
 class Load(Message, frozen=True, tag=9):
     """Report of the state of an endpoint.
 
@@ -297,4 +307,5 @@
     | UnackedCompletion
     | CompletionsAcknowledged
     | CrashNotice
+    | CheckRuns
 )
--- a/tests/test_run_identity.py
+++ b/tests/test_run_identity.py
@@ -8,6 +8,7 @@
     connections,
     entry_sessions,
     messages,
+    run_checks,
 )
 from tests import dispatch_world, executor_case
 
@@ -91,3 +92,36 @@
         """Guards against an earlier owner that stops its successor's runs."""
         session, _ = self.world.connect_entry('front-2')
         await self.check_not_stopped(1, session)
+
+
+class TestRepeatedStarts(executor_case.ExecutorCase):
+    """A start that comes twice."""
+
+    duration = 30.0
+
+    async def test_repeated_start(self) -> None:
+        """Guards against a refusal of an active run, which starts elsewhere."""
+        self.world.start_tasks(1)
+        leased = self.world.endpoint.leased
+        await dispatch_world.wait_until(lambda: leased.running)
+        self.world.start_tasks(1)
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.world.refused(), 0)
+        self.assertEqual(len(self.world.executor.runs), 1)
+
+    async def test_unknown_run(self) -> None:
+        """Guards against a silent agent when an entry asks for a lost run."""
+        question = messages.CheckRuns(
+            [(dispatch_world.JOB_ID, messages.RunId(0, 1))]
+        )
+        refused = run_checks.refuse_unknown(
+            self.world.executor.runs,
+            self.world.executor.completions,
+            self.world.session,
+            question,
+        )
+        self.assertEqual(refused, 1)
+        reasons = [
+            each.reason for each in self.world.link.sent_of(messages.Refused)
+        ]
+        self.assertEqual(reasons, [messages.Refusal.unknown])
--- a/tests/test_stored_jobs.py
+++ b/tests/test_stored_jobs.py
@@ -212,7 +212,6 @@
         self.assertIs(self.store.record().state, records.State.cancelled)
         self.assertNotIn(records.CANCELS_PREFIX + JOB_ID, self.store.values)
 
-
     async def test_doubt_between_two_checks(self) -> None:
         """Guards against an accepted job that no entry ever runs.
 
@@ -239,7 +238,8 @@
         job_ownership = self.entry.ownership
         job_ownership.could_own_jobs = True
         commits = self.store.commits
-        for self.entry.can_own_jobs in (False, True, False):
+        for can_own_jobs in (False, True, False):
+            self.entry.can_own_jobs = can_own_jobs
             job_ownership.check_validity()
         await dispatch_world.wait_until(lambda: self.store.commits > commits)
         await asyncio.sleep(0.02)
--- a/tools/simulation/processes.py
+++ b/tools/simulation/processes.py
@@ -77,6 +77,7 @@
         )
         net.listeners[address(node)] = (self.process, self.agent_links.serve)
         self.process.spawn(self.agent_links.keep_alive.run())
+        self.process.spawn(self.agent_links.run_audit.run())
 
     def submit(
         self,
--- a/tools/simulation/scenario.py
+++ b/tools/simulation/scenario.py
@@ -46,13 +46,13 @@
     # Parts of the product choose at random by the module's own generator.
     random.seed(seed)
     rng = random.Random(seed)
-    with _started_fleet(rng, _ENTRY_COUNT, _AGENT_COUNT) as simulated:
+    with started_fleet(rng, _ENTRY_COUNT, _AGENT_COUNT) as simulated:
         return _play(simulated, seed, seconds)
 
 
 def idle_frames(entry_count: int, agent_count: int) -> float:
     """Return the frames a second on all links of a fleet without jobs."""
-    with _started_fleet(random.Random(1), entry_count, agent_count) as idle:
+    with started_fleet(random.Random(1), entry_count, agent_count) as idle:
         idle.simulation.run_until(idle.simulation.now + _WARM_UP_S)
         before = idle.network.frames_sent
         idle.simulation.run_until(idle.simulation.now + _MEASURED_S)
@@ -60,7 +60,7 @@
 
 
 @contextlib.contextmanager
-def _started_fleet(
+def started_fleet(
     rng: random.Random, entry_count: int, agent_count: int
 ) -> typing.Iterator[fleet.Fleet]:
     """Start a fleet in virtual time and end it at the end of the block."""
