Read zones, limits of memory and descriptors, and the evacuation bound

Cause: the parts for evacuated zones, for crowds of large bodies and for short room need what the platform's settings already say. Ruled out: reading the file in each part. No behaviour changes; the defaults stand for settings files without these fields.

--- a/src/poplardrum/platform/settings_file.py
+++ b/src/poplardrum/platform/settings_file.py
@@ -27,6 +27,15 @@
     # How many times as long tasks take outside the rack of their data.
     far_factor: float = msgspec.field(default=1, name='SpreadFactor')
     status_s: float = 120
+    # Only where an operator may have a zone evacuated.
+    evacuation_ms: float | None = msgspec.field(
+        default=None, name='EvacuationMs'
+    )
+
+
+class _Limits(msgspec.Struct):
+    memory_mb: int = msgspec.field(default=0, name='MemoryMb')
+    descriptors: int = msgspec.field(default=0, name='FileDescriptors')
 
 
 class _Store(msgspec.Struct):
@@ -45,6 +54,9 @@
     )
     seeds: list[str] = msgspec.field(default_factory=list, name='SeedNodes')
     bounds: _Bounds = msgspec.field(default_factory=_Bounds, name='Bounds')
+    limits: _Limits = msgspec.field(default_factory=_Limits, name='Limits')
+    # The regions of the availability zones, by zone.
+    zones: dict[str, str] = msgspec.field(default_factory=dict, name='Zones')
     app: str | None = None
 
 
@@ -56,6 +68,11 @@
     The store accepts `writes_per_second` from all hosts together. The state
     of a job can be requested until `states_kept` after its end. Names of
     fields are logged when the file has changed.
+
+    Where operators evacuate availability zones, no task may start in one
+    later than `evacuation_bound` after the request; it is `None` elsewhere.
+    The process is killed beyond `memory_mb` and may open up to `descriptors`
+    files and sockets; 0 means that the limit is not known.
     """
 
     node: str
@@ -75,6 +92,10 @@
     far_factor: float
     writes_per_second: float
     states_kept: float
+    zones: tuple[str, ...] = ()
+    evacuation_bound: float | None = None
+    memory_mb: int = 0
+    descriptors: int = 0
 
 
 def load(path: pathlib.Path) -> ProcessSettings:
@@ -111,6 +132,12 @@
         far_factor=bounds.far_factor,
         writes_per_second=document.store.writes_per_s,
         states_kept=bounds.status_s,
+        zones=tuple(document.zones),
+        evacuation_bound=None
+        if bounds.evacuation_ms is None
+        else bounds.evacuation_ms / _MS_PER_S,
+        memory_mb=document.limits.memory_mb,
+        descriptors=document.limits.descriptors,
     )
 
 
