--- a/src/poplardrum/daemons/submissions.py
+++ b/src/poplardrum/daemons/submissions.py
@@ -13,7 +13,7 @@
     records,
     stability,
 )
-from poplardrum.daemons import key_querier
+from poplardrum.daemons import key_querier, submission_replies
 from poplardrum.peers import handlers, links, messages
 
 if typing.TYPE_CHECKING:
@@ -27,14 +27,6 @@
 _LEASE_FRACTION: typing.Final = 0.9
 
 
-class Waiter(typing.NamedTuple):
-    """Request of an entry for a key; `wait` is for the end of the job."""
-
-    link: links.Link
-    request: ids.RequestId
-    wait: bool = True
-
-
 @dataclasses.dataclass
 class PendingSubmission:
     """Submission of an unknown key while its key query is running.
@@ -47,7 +39,7 @@
     frame_age_s: float
     started_at: float
     query: key_queries.KeyQuery
-    waiters: list[Waiter]
+    waiters: list[submission_replies.Waiter]
 
     @property
     def key(self) -> records.RecordKey:
@@ -77,7 +69,9 @@
             self.stability,
         )
         self.key_querier = key_querier.KeyQuerier(process)
-        self.waiters: dict[records.RecordKey, list[Waiter]] = {}
+        self.waiters: dict[
+            records.RecordKey, list[submission_replies.Waiter]
+        ] = {}
         self.undecided: dict[records.RecordKey, PendingSubmission] = {}
 
     async def expire(self) -> None:
@@ -93,14 +87,16 @@
         unknown keys are refused while this agent stops.
         """
         key = (item.tenant, item.key)
-        waiter = Waiter(link, item.request, item.wait)
+        waiter = submission_replies.Waiter(link, item.request, item.wait)
         if self.attach_if_known(item, key, waiter):
             return
         owner = self.records.tombstone_owner(key, time.monotonic())
         if owner is not None:
-            self.redirect(waiter, owner)
+            submission_replies.redirect(waiter, owner)
         elif self.process.stopping.is_set():
-            self.refuse(waiter, errors.Code.stopping, 'agent is stopping')
+            submission_replies.refuse(
+                waiter, errors.Code.stopping, 'agent is stopping'
+            )
         else:
             self.start_query(item, waiter, link.frame_age)
 
@@ -108,7 +104,7 @@
         self,
         item: messages.SubmitJob,
         key: records.RecordKey,
-        waiter: Waiter,
+        waiter: submission_replies.Waiter,
     ) -> bool:
         """Attach to a known submission; return `False` for an unknown key."""
         record = self.records.get(key)
@@ -117,7 +113,7 @@
             return False
         known = record or (submission and submission.item)
         if known and known.digest != item.digest:
-            self.refuse(
+            submission_replies.refuse(
                 waiter,
                 errors.Code.key_reused,
                 'the idempotency key was used with another body',
@@ -131,7 +127,7 @@
     def start_query(
         self,
         item: messages.SubmitJob,
-        waiter: Waiter,
+        waiter: submission_replies.Waiter,
         age: float,
     ) -> None:
         """Start a key query whether an unknown key may start here."""
@@ -180,15 +176,15 @@
                 self.answer_not_started(waiter, query)
 
     def answer_not_started(
-        self, waiter: Waiter, query: key_queries.KeyQuery
+        self, waiter: submission_replies.Waiter, query: key_queries.KeyQuery
     ) -> None:
         """Reply to a request whose key is not started here."""
         if query.owner is not None:
-            self.redirect(waiter, query.owner)
+            submission_replies.redirect(waiter, query.owner)
         elif query.outcome is key_queries.QueryOutcome.indeterminate:
-            self.reply(waiter, _indeterminate())
+            submission_replies.reply(waiter, submission_replies.indeterminate())
         else:
-            self.refuse(
+            submission_replies.refuse(
                 waiter,
                 errors.Code.unavailable,
                 'an agent that ranks higher is not known to be gone',
@@ -205,7 +201,7 @@
             self.records.add(key, record, now)
         except errors.PoplardrumError as error:
             for refused in submission.waiters:
-                self.refuse(
+                submission_replies.refuse(
                     refused,
                     error.code,
                     error.message,
@@ -246,15 +242,17 @@
         self,
         key: records.RecordKey,
         record: records.Record,
-        waiter: Waiter,
+        waiter: submission_replies.Waiter,
     ) -> None:
         """Reply from a record, now or at the end of its job."""
         if record.answer is not None:
-            self.reply(waiter, record.answer)
+            submission_replies.reply(waiter, record.answer)
         elif waiter.wait:
             self.waiters.setdefault(key, []).append(waiter)
         else:
-            self.reply(waiter, _accepted(record.job))
+            submission_replies.reply(
+                waiter, submission_replies.accepted(record.job)
+            )
 
     def finished(
         self,
@@ -264,12 +262,12 @@
         """Store the answer of a job and send it to all waiting entries."""
         self.records.finish_record(key, answer, time.monotonic())
         for waiter in self.waiters.pop(key, []):
-            self.reply(waiter, answer)
+            submission_replies.reply(waiter, answer)
 
     def find_record(
         self,
         key: records.RecordKey,
-        waiter: Waiter,
+        waiter: submission_replies.Waiter,
     ) -> records.Record | None:
         """Return the record of a key; else reply with its owner, or search.
 
@@ -280,13 +278,13 @@
             return record
         owner = self.records.tombstone_owner(key, time.monotonic())
         if owner is not None:
-            self.redirect(waiter, owner)
+            submission_replies.redirect(waiter, owner)
             return None
         self.process.spawn(self.search_owner(key, waiter), f'search {key[1]}')
         return None
 
     async def search_owner(
-        self, key: records.RecordKey, waiter: Waiter
+        self, key: records.RecordKey, waiter: submission_replies.Waiter
     ) -> None:
         """Search for the owner of a key at the other agents."""
         retention_s = self.key_ownership.retention_time(
@@ -301,11 +299,13 @@
         )
         await self.key_querier.run(key, query)
         if query.owner is not None:
-            self.redirect(waiter, query.owner)
+            submission_replies.redirect(waiter, query.owner)
         elif query.outcome is key_queries.QueryOutcome.indeterminate:
-            self.reply(waiter, _indeterminate())
+            submission_replies.reply(waiter, submission_replies.indeterminate())
         else:
-            self.refuse(waiter, errors.Code.unknown_job, 'unknown job')
+            submission_replies.refuse(
+                waiter, errors.Code.unknown_job, 'unknown job'
+            )
 
     def clean(self) -> bool:
         """Return whether all keys started under this agent's id are known."""
@@ -335,52 +335,6 @@
         if link.member.role is messages.Role.entry:
             self.stability.record_echo(link.member.id, link.echo)
 
-    def reply(self, waiter: Waiter, answer: messages.Answer) -> None:
-        """Send an answer to the entry that waits for it."""
-        waiter.link.send(messages.JobReply(waiter.request, answer))
-
-    def redirect(self, waiter: Waiter, owner: ids.MemberId) -> None:
-        """Redirect an entry to the agent that owns the key."""
-        waiter.link.send(
-            messages.JobReply(waiter.request, _indeterminate(), owner),
-        )
-
-    def refuse(
-        self,
-        waiter: Waiter,
-        code: errors.Code,
-        message: str,
-        retry_after: float | None = None,
-    ) -> None:
-        """Refuse a request of which nothing has started."""
-        self.reply(
-            waiter,
-            messages.Answer(
-                ids.JobId(''),
-                code,
-                errors.Verdict.not_run,
-                message,
-                retry_after,
-            ),
-        )
-
-
-def _accepted(job: ids.JobId) -> messages.Answer:
-    return messages.Answer(
-        job,
-        errors.Code.accepted,
-        errors.Verdict.may_have_run,
-    )
-
-
-def _indeterminate() -> messages.Answer:
-    return messages.Answer(
-        ids.JobId(''),
-        errors.Code.indeterminate,
-        errors.Verdict.may_have_run,
-        'an agent that may have started this key cannot be asked',
-    )
-
 
 @handlers.receive.register(messages.SubmitJob)
 def _submit(
@@ -399,7 +353,7 @@
 ) -> None:
     submissions = process.submissions
     key = (item.tenant, item.key)
-    waiter = Waiter(link, item.request, item.wait)
+    waiter = submission_replies.Waiter(link, item.request, item.wait)
     record = submissions.find_record(key, waiter)
     if record is not None:
         submissions.attach(key, record, waiter)
@@ -413,7 +367,7 @@
 ) -> None:
     submissions = process.submissions
     key = (item.tenant, item.key)
-    waiter = Waiter(link, item.request)
+    waiter = submission_replies.Waiter(link, item.request)
     record = submissions.find_record(key, waiter)
     if record is not None:
         submissions.attach(key, record, waiter)
