--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import logging
 import typing
 
@@ -13,6 +12,7 @@
     fleet,
     jobs,
     messages,
+    owned_jobs,
     record_writer,
     records,
     unclaimed_completions,
@@ -24,31 +24,6 @@
 _MAX_FINISHED_JOBS: typing.Final = 4096
 _IDLE_VALIDITY_INTERVAL_S: typing.Final = 0.25
 
-_STATE_BY_OUTCOME: typing.Final = {
-    jobs.JobOutcome.completed: records.State.completed,
-    jobs.JobOutcome.failed: records.State.failed,
-    jobs.JobOutcome.cancelled: records.State.cancelled,
-}
-
-
-@dataclasses.dataclass
-class OwnedJob:
-    """A stored job of this entry.
-
-    `unstored` has the completions that were applied and that the store may not
-    have yet, with the agents that expect their acknowledgements. The job is
-    not `confirmed` while another entry may have taken it over; a write that is
-    to find that out `is_reclaiming` it.
-    """
-
-    job: jobs.Job
-    pending: record_writer.PendingRecord
-    unstored: dict[unclaimed_completions.CompletionKey, fleet.Agent] = (
-        dataclasses.field(default_factory=dict)
-    )
-    confirmed: bool = True
-    is_reclaiming: bool = False
-
 
 class Ownership:
     """Run owned jobs, and store their completions and outcomes."""
@@ -66,7 +41,7 @@
         self.coordinator = job_coordinator
         self.writer = writer
         self.can_own_jobs = can_own_jobs
-        self.owned_jobs: dict[ids.JobId, OwnedJob] = {}
+        self.owned_jobs: dict[ids.JobId, owned_jobs.OwnedJob] = {}
         self.finished_jobs: collections.OrderedDict[
             ids.JobId, records.State
         ] = collections.OrderedDict()
@@ -81,18 +56,18 @@
 
     def take_ownership(
         self, job: jobs.Job, pending: record_writer.PendingRecord
-    ) -> OwnedJob:
+    ) -> owned_jobs.OwnedJob:
         """Own a job whose record is stored, and run it.
 
         If this entry cannot own jobs now, another one may have taken the job
         over since its record was stored.
         """
-        owned = OwnedJob(job, pending, confirmed=self.can_own_jobs())
+        owned = owned_jobs.OwnedJob(job, pending, confirmed=self.can_own_jobs())
         self.owned_jobs[job.id] = owned
         self._apply_unclaimed(owned)
         self.coordinator.suspects.restore(job.id, pending.record.crashes)
         # The last owner may have stored all completions, but not the outcome.
-        outcome = _decided_outcome(job)
+        outcome = owned_jobs.decided_outcome(job)
         if outcome is not None and not job.outcome.done():
             job.outcome.set_result(outcome)
         self.coordinator.submit(job)
@@ -202,7 +177,7 @@
             popped.append(job)
         return popped
 
-    def relinquish(self, owned: OwnedJob) -> None:
+    def relinquish(self, owned: owned_jobs.OwnedJob) -> None:
         """Stop running a job that another entry has taken over."""
         self.owned_jobs.pop(owned.job.id, None)
         self.writer.close(owned.pending)
@@ -210,7 +185,7 @@
             owned.job.outcome.cancel()
         self.coordinator.finish(owned.job)
 
-    async def cancel(self, owned: OwnedJob) -> bool:
+    async def cancel(self, owned: owned_jobs.OwnedJob) -> bool:
         """Cancel a job; return whether its outcome is stored."""
         if not owned.job.outcome.done():
             owned.job.outcome.set_result(jobs.JobOutcome.cancelled)
@@ -264,7 +239,7 @@
                 owned.is_reclaiming = True
                 self.spawn(self._reclaim(owned))
 
-    async def _reclaim(self, owned: OwnedJob) -> None:
+    async def _reclaim(self, owned: owned_jobs.OwnedJob) -> None:
         """Resume a job if the record still names this entry as its owner."""
         result = await self.writer.put(owned.pending)
         owned.is_reclaiming = False
@@ -276,13 +251,13 @@
         self.coordinator.placer.add(owned.job)
         self.coordinator.placer.schedule()
 
-    def _apply_unclaimed(self, owned: OwnedJob) -> None:
+    def _apply_unclaimed(self, owned: owned_jobs.OwnedJob) -> None:
         for agent, message in self.unclaimed.pop(owned.job.id):
             self._apply_completion(owned, agent, message)
 
     def _apply_completion(
         self,
-        owned: OwnedJob,
+        owned: owned_jobs.OwnedJob,
         agent: fleet.Agent,
         message: messages.UnackedCompletion,
     ) -> None:
@@ -298,7 +273,7 @@
             return
         run_id = messages.RunId(task.index, message.run_number)
         if owned.pending.record.has_completion(run_id):
-            _handle_redelivery(owned, agent, message.completion_id)
+            owned.handle_redelivery(agent, message.completion_id)
             return
         completion = messages.Completion(
             owned.job.id, run_id, message.outcome, message.completion_id
@@ -319,7 +294,7 @@
 
     def _count_failure(
         self,
-        owned: OwnedJob,
+        owned: owned_jobs.OwnedJob,
         task: jobs.Task,
         agent: fleet.Agent,
         completion: messages.Completion,
@@ -331,7 +306,9 @@
             owned.job.resolve(jobs.JobOutcome.failed)
 
     async def _commit(
-        self, owned: OwnedJob, key: unclaimed_completions.CompletionKey
+        self,
+        owned: owned_jobs.OwnedJob,
+        key: unclaimed_completions.CompletionKey,
     ) -> None:
         """Store the record, which has a completion; then acknowledge it."""
         if await self._store(owned):
@@ -339,7 +316,7 @@
             if agent is not None:
                 unclaimed_completions.acknowledge([(agent, key[1])])
 
-    async def _store(self, owned: OwnedJob) -> bool:
+    async def _store(self, owned: owned_jobs.OwnedJob) -> bool:
         """Store the record; stop running the job if it has another owner."""
         if (
             await self.writer.put(owned.pending)
@@ -350,7 +327,7 @@
             self.relinquish(owned)
         return False
 
-    async def _await_outcome(self, owned: OwnedJob) -> None:
+    async def _await_outcome(self, owned: owned_jobs.OwnedJob) -> None:
         """Wait for the outcome of a job and store it."""
         try:
             outcome = await owned.job.outcome
@@ -358,7 +335,7 @@
             # Taken over by another entry.
             return
         record = owned.pending.record
-        record.state = _STATE_BY_OUTCOME[outcome]
+        record.state = owned_jobs.STATE_BY_OUTCOME[outcome]
         record.specification = ''
         self.coordinator.finish(owned.job)
         if (
@@ -382,27 +359,3 @@
             )
         self.owned_jobs.pop(owned.job.id, None)
         self.writer.close(owned.pending)
-
-
-def _decided_outcome(job: jobs.Job) -> jobs.JobOutcome | None:
-    """Return the outcome if the completions so far decide it."""
-    if any(task.failures >= job.max_attempts for task in job.tasks):
-        return jobs.JobOutcome.failed
-    if all(task.phase is jobs.Phase.done for task in job.tasks):
-        return jobs.JobOutcome.completed
-    return None
-
-
-def _handle_redelivery(
-    owned: OwnedJob, agent: fleet.Agent, completion_id: messages.CompletionId
-) -> None:
-    """Acknowledge a completion that the record has, once it is stored.
-
-    The sender may be a new process of the agent, which has to be acknowledged
-    in place of the earlier one.
-    """
-    key = (agent.node, completion_id)
-    if key in owned.unstored:
-        owned.unstored[key] = agent
-    else:
-        unclaimed_completions.acknowledge([(agent, completion_id)])
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -38,6 +38,10 @@
         self.is_confirmed = asyncio.Event()
         self.is_confirmed.set()
 
+    def as_link(self) -> connections.Link:
+        """Return this link as what the product takes it for."""
+        return typing.cast(connections.Link, self)
+
     def send(self, message: messages.Message) -> None:
         """Record a message."""
         self.sent.append(message)
--- a/tests/stored_world.py
+++ b/tests/stored_world.py
@@ -10,12 +10,12 @@
 from poplardrum import errors, ids
 from poplardrum.dispatch import (
     clocks,
-    connections,
     coordinator,
     fleet,
     jobs,
     membership,
     messages,
+    owned_jobs,
     ownership,
     record_writer,
     records,
@@ -167,7 +167,7 @@
         agent = fleet.Agent(node, 'toledo', ids.new_incarnation())
         link = dispatch_world.FakeLink()
         self.coordinator.add_agent(agent)
-        agent.on_connected(typing.cast(connections.Link, link))
+        agent.on_connected(link.as_link())
         if accepting:
             self.report_load(agent)
         return agent, link
@@ -197,7 +197,7 @@
 
     async def create_owned_job(
         self, tasks: int = 2, max_attempts: int = 2
-    ) -> ownership.OwnedJob:
+    ) -> owned_jobs.OwnedJob:
         """Store a job that this entry owns, and run it."""
         record = self.new_record(tasks, max_attempts)
         pending = self.writer.open(JOB_ID, record)
@@ -213,7 +213,7 @@
 
     def complete(
         self,
-        owned: ownership.OwnedJob,
+        owned: owned_jobs.OwnedJob,
         index: int,
         outcome: messages.Outcome,
         number: int,
--- a/tests/test_completion_redelivery.py
+++ b/tests/test_completion_redelivery.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing
 
-from poplardrum.dispatch import fleet, jobs, messages, ownership
+from poplardrum.dispatch import fleet, jobs, messages, owned_jobs
 from tests import dispatch_world, stored_world
 
 JOB_ID: typing.Final = stored_world.JOB_ID
@@ -25,7 +25,7 @@
 class TestFailedRuns(stored_world.StoredCase):
     """Each failed run uses up one attempt, however often it is reported."""
 
-    async def fail_once(self) -> ownership.OwnedJob:
+    async def fail_once(self) -> owned_jobs.OwnedJob:
         """Start a job of one task, whose run fails; no agent has room then."""
         owned = await self.entry.create_owned_job(tasks=1, max_attempts=3)
         await dispatch_world.wait_until(lambda: self.started_runs(self.link))
