Keep starts out of evacuated availability zones

Callers saw: on sites whose operator empties a zone, tasks were started there. Cause: the key was not read at all. Change: agents read the evacuated zones, hear of them from entries, and start nothing while theirs is one of them, also what was accepted and still waits; entries leave such zones out through the room index, refuse at once when none is left, and offer cold endpoints by steps after the return.

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -197,6 +197,8 @@
                 )
             case messages.Entries():
                 self.update_entries(message)
+            case messages.EvacuatedZones():
+                self.executor.commands.gate.observe(message)
             case messages.CompletionsAcknowledged():
                 if self.executor.completions.acknowledge(
                     message.completion_ids
--- a/src/poplardrum/dispatch/agent_process.py
+++ b/src/poplardrum/dispatch/agent_process.py
@@ -12,6 +12,7 @@
 from poplardrum import errors, log_events
 from poplardrum.dispatch import (
     agent,
+    agent_evacuations,
     clocks,
     executor,
     lifecycle,
@@ -160,6 +161,9 @@
                     _restore_status, task_executor, kv_store, config.node
                 ),
             ),
+            *agent_evacuations.background_loops(
+                config, kv_store, task_executor
+            ),
         ]
         lifecycle.supervise_all(stack, background_loops)
 
--- a/src/poplardrum/dispatch/commands.py
+++ b/src/poplardrum/dispatch/commands.py
@@ -12,6 +12,7 @@
     lease,
     messages,
     timing,
+    zone_gate,
 )
 from poplardrum.platform import endpoints
 
@@ -45,6 +46,7 @@
         self.stop_time = stop_time
         self.is_tracked = is_tracked
         self.request_report = request_report
+        self.gate: zone_gate.Gate = zone_gate.OpenGate()
 
     async def start(
         self,
@@ -80,17 +82,21 @@
                 self.lease.raise_token_after_fencing(reply.clock_ms)
             elif result is not endpoints.RequestResult.expired:
                 return self._handle_start_reply(run, result)
+        if not self.gate.is_open():
+            return messages.Refusal.not_accepting, 'zone evacuated'
         return messages.Refusal.endpoint, 'not started in time'
 
     def _lease_end_for(self, run: endpoint_runs.Run) -> int | None:
         """Return the lease end to send with a start request, in milliseconds.
 
         Return `None` if the run must not start: the lease is suspended, the
-        entry has gone or wants it no more, or the run was settled during a
-        wait, so that its task may run elsewhere.
+        zone is evacuated, the entry has gone or wants it no more, or the run
+        was settled during a wait, so that its task may run elsewhere.
         """
         if not self.is_tracked(run) or not run.may_start():
             return None
+        if not self.gate.is_open():
+            return None
         run.started_at = clocks.now()
         run.fencing_token = self.lease.fencing_token
         return self.lease.renew(run.started_at)
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -10,11 +10,10 @@
 from poplardrum.dispatch import (
     clocks,
     coordinator,
-    coverage,
+    entry_services,
     lifecycle,
     links,
     membership,
-    prediction_sharing,
     record_writer,
     reloading,
     request_handler,
@@ -137,17 +136,8 @@
             ),
             ('keep-alive', agent_links.keep_alive.run),
             ('run audit', agent_links.run_audit.run),
-            (
-                'learned durations',
-                prediction_sharing.PredictionSharing(
-                    kv_store, config.node, handler.predictors
-                ).run,
-            ),
-            (
-                'service coverage',
-                functools.partial(
-                    coverage.watch, route_table, job_coordinator, announcement
-                ),
+            *entry_services.background_loops(
+                kv_store, handler, agent_links, announcement
             ),
             *services.background_loops(),
         ]
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -78,6 +78,7 @@
         """Return whether new tasks may start."""
         return (
             self.status.is_ready()
+            and self.commands.gate.is_open()
             and self.is_reconciled
             and self.endpoint_reachable
             and not self.stopping
@@ -88,7 +89,10 @@
     def free_capacity(self) -> messages.Resources:
         """Return the capacity that is not reserved by tracked runs."""
         reserved = [run.demand for run in self.runs.values()]
-        return self.status.capacity().minus(*reserved)
+        usable = self.commands.gate.limit(
+            self.status.capacity(), self.status.heartbeat
+        )
+        return usable.minus(*reserved)
 
     def start(
         self, session: entry_sessions.EntrySession, request: messages.StartTasks
@@ -109,7 +113,9 @@
             self._spawn(self._start_run(run, request))
         for reason, runs in refused.items():
             session.send(messages.Refused(request.job, runs, reason))
-            run_events.log_tasks_refused(request.job, reason, len(runs))
+            run_events.log_tasks_refused(
+                request.job, reason, len(runs), self.commands.gate.is_open()
+            )
         self.request_report()
 
     def stop(
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -27,6 +27,8 @@
     incarnation: ids.Incarnation
     link: connections.Link | None = None
     accepting: bool = False
+    # Whether its zone is evacuated, as far as this entry knows.
+    is_evacuated: bool = False
     free: messages.Resources = _NO_RESOURCES
     capacity: messages.Resources = _NO_RESOURCES
     slowness: float = 1.0
@@ -47,7 +49,10 @@
     def is_usable(self) -> bool:
         """Return whether tasks may be sent to it."""
         return (
-            self.accepting and self.link is not None and not self.link.is_stale
+            self.accepting
+            and not self.is_evacuated
+            and self.link is not None
+            and not self.link.is_stale
         )
 
     def track(self, key: TaskKey) -> None:
--- a/src/poplardrum/dispatch/links.py
+++ b/src/poplardrum/dispatch/links.py
@@ -32,6 +32,7 @@
         self.coordinator = job_coordinator
         self.links: set[connections.Link] = set()
         self.entries = messages.Entries(0, [])
+        self.evacuated_zones: messages.EvacuatedZones | None = None
         self.keep_alive = keepalive.KeepAlive()
         self.run_audit = run_audit.RunAudit(job_coordinator)
         self.keep_alive.continuity = job_coordinator.continuity
@@ -82,6 +83,8 @@
         self.links.add(link)
         if self.entries.entries:
             link.send(self.entries)
+        if self.evacuated_zones is not None:
+            link.send(self.evacuated_zones)
         log_events.emit(logger, 'agent linked', agent=first.node)
         for message in rest:
             self.coordinator.handle_message(peer, message)
@@ -95,6 +98,12 @@
         for link in self.links:
             link.send(entries)
 
+    def send_evacuated_zones(self, zones: messages.EvacuatedZones) -> None:
+        """Send the evacuated zones to all agents, now and when they link."""
+        self.evacuated_zones = zones
+        for link in self.links:
+            link.send(zones)
+
     def close(self) -> None:
         """Abort all connections."""
         for link in list(self.links):
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -291,6 +291,13 @@
     labels: list[str]
 
 
+class EvacuatedZones(Message, frozen=True, tag=17):
+    """The zones in which no task may start, as of a revision of the store."""
+
+    revision: int
+    zones: list[str]
+
+
 AnyMessage = (
     AgentHello
     | EntryHello
@@ -308,4 +315,5 @@
     | CompletionsAcknowledged
     | CrashNotice
     | CheckRuns
+    | EvacuatedZones
 )
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -54,10 +54,12 @@
         self.started_at = clocks.now()
         self.peak_usable = 0
         self.metrics = metrics.Metrics()
-        self.metrics.gauges = self._read_gauges
+        self.metrics.gauges = self.read_gauges
         self.predictors = estimates.PredictorTable()
         self.stop_at = math.inf
         self.stopping = False
+        # Raises a refusal while no job can be run anywhere.
+        self.check_open: typing.Callable[[], None] = _allow
         self.stale_requests = stale_requests.StaleRequests(
             job_coordinator.continuity, settings.config.resubmission
         )
@@ -109,6 +111,7 @@
         job_id = job_api.parse_job_id(route, request.path)
         if request.method != 'POST':
             return await self._handle_query(request, route, job_id)
+        self.check_open()
         if job_id is None:
             raise errors.refusal(errors.Code.bad_request, 'malformed id')
         if route.advice:
@@ -129,6 +132,7 @@
     ) -> web_response.Response:
         try:
             await self.stale_requests.hold(job, transport)
+            self.check_open()
             self.coordinator.submit(job)
             outcome = await job.outcome
         except asyncio.CancelledError:
@@ -176,7 +180,8 @@
         """Return whether this entry has open requests or owns stored jobs."""
         return bool(self.open_requests or self.stored_jobs.ownership.owned_jobs)
 
-    def _read_gauges(self) -> dict[str, float]:
+    def read_gauges(self) -> dict[str, float]:
+        """Return the current values of the gauges."""
         configuration = self.route_table.configuration
         agents = self.coordinator.agents.values()
         return {
@@ -327,3 +332,7 @@
             index.min_slowness(),
             is_starting or admission.is_recovering(usable, self.peak_usable),
         )
+
+
+def _allow() -> None:
+    """Refuse nothing."""
--- a/src/poplardrum/dispatch/room_index.py
+++ b/src/poplardrum/dispatch/room_index.py
@@ -64,12 +64,15 @@
         the same time do not all choose the same one.
         """
         self.zone = zone
+        # No task may be sent to agents in these zones.
+        self.evacuated_zones: frozenset[str] = frozenset()
         self.random = rng or random.Random()
         self.services: dict[str, dict[int, SpeedClass]] = {}
         self.positions: dict[fleet.Agent, _Position] = {}
 
     def update(self, agent: fleet.Agent) -> None:
         """List an agent by its present state; drop it if it is unusable."""
+        agent.is_evacuated = agent.zone in self.evacuated_zones
         position = self._position(agent)
         previous = self.positions.get(agent)
         if position == previous:
@@ -139,7 +142,7 @@
             yield from agents[:first]
 
     def _position(self, agent: fleet.Agent) -> _Position | None:
-        if not agent.accepting or agent.link is None:
+        if not agent.accepting or agent.is_evacuated or agent.link is None:
             return None
         free = max(agent.free.cpu_millicores, 0)
         return _Position(
--- a/src/poplardrum/dispatch/run_events.py
+++ b/src/poplardrum/dispatch/run_events.py
@@ -43,11 +43,16 @@
 
 
 def log_tasks_refused(
-    job: ids.JobId, reason: messages.Refusal, count: int
+    job: ids.JobId, reason: messages.Refusal, count: int, is_zone_open: bool
 ) -> None:
     """Log that tasks of a command were refused at once."""
     log_events.emit(
-        logger, 'task refused', job=job, reason=reason.name, tasks=count
+        logger,
+        'task refused',
+        job=job,
+        reason=reason.name,
+        tasks=count,
+        zone_evacuated=not is_zone_open,
     )
 
 
--- a/src/poplardrum/platform/endpoints.py
+++ b/src/poplardrum/platform/endpoints.py
@@ -115,6 +115,8 @@
     born: decoding.Sequence = 0
     clock_ms: decoding.Sequence = msgspec.field(default=0, name='ClockMs')
     labels: list[str] = msgspec.field(default_factory=list, name='Labels')
+    # How much longer it is slow after a start.
+    cold_remaining_ms: float = msgspec.field(default=0, name='ColdRemainingMs')
 
 
 class _ReplyBody(msgspec.Struct):
