--- a/src/poplardrum/dispatch/evacuation_reader.py
+++ b/src/poplardrum/dispatch/evacuation_reader.py
@@ -15,6 +15,8 @@
 _BOUND_FRACTION: typing.Final = 0.4
 _MAX_INTERVAL_S: typing.Final = 2.0
 _MIN_PAUSE_S: typing.Final = 0.05
+# Agents that started together do not read at the same time for long.
+_MIN_PAUSE_SHARE: typing.Final = 0.75
 _MAX_WATCH_BACKOFF_S: typing.Final = 0.5
 # Agents are many; while the store fails, each calls about once a second.
 _MAX_POLL_BACKOFF_S: typing.Final = 1.0
@@ -75,7 +77,7 @@
                 backoff = min(2 * backoff, _MAX_POLL_BACKOFF_S)
             else:
                 backoff = _MIN_PAUSE_S
-            await asyncio.sleep(pause * random.uniform(0.5, 1))
+            await asyncio.sleep(pause * random.uniform(_MIN_PAUSE_SHARE, 1))
 
     def gauges(self) -> dict[str, float]:
         """Return the current values of the gauges."""
