Check a configuration for what an edit would not show

`config check` printed the first syntax error of each file and stopped at 20 problems; entries without effect and limits that contradict each other were accepted in silence, and nothing showed what an edit changes.

The command now prints all findings as errors, warnings and differences, by file and line, also as JSON, with an exit code for scripts: 0, 1 for warnings, 2 for errors, 3 when the comparison could not be made. It compares with an entry, a folder or a saved document by value, so `1 s` and `1000 ms` are equal. With an entry, rules for workers and regions are checked against the processes that it knows. `--document` checks the platform's document; the names of its fields stay in platform/.

Findings on rules go to standard output now; `config check` wrote its errors to standard error. The text of each error is as before.

ini.py, rules.py and folder.py keep what they raise; they give problems with place and message apart, and folders can be read without a validation.

Ruled out: a tolerant parser of our own (the entry's parser decides what is an error, so lines that it refuses are made blank and it parses again), and warnings for options equal to their defaults (explicit is not wrong).

--- a/src/poplardrum/cli_config.py
+++ b/src/poplardrum/cli_config.py
@@ -1,4 +1,4 @@
-"""Command line of `poplardrum config`; calls `commands.config`."""
+"""Command line of `poplardrum config`; calls its modules in `commands`."""
 
 import dataclasses
 import pathlib
@@ -22,18 +22,69 @@
 ]
 
 
-@cappa.command(name='check', help='Check a folder of rule files.')
+@cappa.command(
+    name='check',
+    help=(
+        'Check a folder of rule files, or a document of the platform, before '
+        'it is sent. '
+        'Exit codes: 0 correct (it may differ from what it is compared with), '
+        '1 warnings, 2 errors or wrong input, 3 not compared.'
+    ),
+)
 @dataclasses.dataclass
 class CheckCommand:
-    """Check a folder of rule files without calling an entry."""
+    """Check a folder or a document, and compare it if asked to."""
 
-    folder: Folder
+    folder: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(help='Folder of rule files (*.ini).'),
+    ] = None
+    document: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long='--document', help="The platform's document (JSON)."),
+    ] = None
+    against: typing.Annotated[
+        pathlib.Path | None,
+        cappa.Arg(long='--against', help='Folder or document in force.'),
+    ] = None
+    entry: typing.Annotated[
+        str,
+        cappa.Arg(long='--entry', help='Compare with the entry at IP:port.'),
+    ] = ''
+    token: typing.Annotated[
+        str,
+        cappa.Arg(long='--token', help="The operators' token."),
+    ] = ''
+    as_json: typing.Annotated[
+        bool,
+        cappa.Arg(long='--json', help='Print one JSON object a finding.'),
+    ] = False
 
     def __call__(self) -> int:
-        """Check the folder and return the exit code."""
-        from poplardrum.commands import config
-
-        return config.check(self.folder)
+        """Check the input and return the exit code."""
+        from poplardrum.commands import config_check
+
+        self._check_arguments()
+        if self.document is not None:
+            return config_check.check_document(
+                self.document, self.against, as_json=self.as_json
+            )
+        assert self.folder is not None
+        source = config_check.Source(self.against, self.entry, self.token)
+        return config_check.check_folder(
+            self.folder, source, as_json=self.as_json
+        )
+
+    def _check_arguments(self) -> None:
+        problem = ''
+        if (self.folder is None) == (self.document is None):
+            problem = 'give either a folder or --document'
+        elif self.entry and (self.document or self.against):
+            problem = '--entry compares a folder, without --against'
+        elif bool(self.entry) != bool(self.token):
+            problem = '--entry and --token belong together'
+        if problem:
+            raise errors.refusal(errors.Code.settings, problem)
 
 
 @cappa.command(
--- a/src/poplardrum/commands/config.py
+++ b/src/poplardrum/commands/config.py
@@ -1,4 +1,4 @@
-"""Check, apply and show the configuration (`poplardrum config`)."""
+"""Apply and show the configuration (`poplardrum config`)."""
 
 import asyncio
 import difflib
@@ -23,7 +23,7 @@
 
 
 class ExitCode(enum.IntEnum):
-    """Exit codes of the commands under `config`."""
+    """Exit codes of the commands under `config` except `check`."""
 
     done = 0
     refused = 1
@@ -41,13 +41,6 @@
     timeout_s: float = 30.0
 
 
-def check(path: pathlib.Path) -> int:
-    """Check a folder of rule files; raise `rules` with file and line."""
-    files = folder.read_files(path, document.Bounds())
-    print(f'{len(files)} files are correct')
-    return ExitCode.done
-
-
 def show(target: Target) -> int:
     """Print the stored files with their configuration numbers."""
     return asyncio.run(_run_with_client(target, _show))
--- a/src/poplardrum/ini.py
+++ b/src/poplardrum/ini.py
@@ -45,21 +45,26 @@
     options: dict[str, Option]
 
 
+class SyntaxProblem(typing.NamedTuple):
+    """One syntax error; `line` is 0 if it is not known."""
+
+    line: int
+    location: str
+    message: str
+
+
 def parse(text: str, source: str, code: errors.Code) -> dict[str, Section]:
     """Return the sections of INI text.
 
     A syntax error is raised as a refusal with `code` and the line number.
     """
-    parser = configparser.ConfigParser(
-        interpolation=None,
-        default_section='',
-        strict=True,
-    )
+    parser = _new_parser()
     try:
         parser.read_string(text, source)
     except configparser.Error as error:
+        first = _describe_syntax_error(error, source)[0]
         raise errors.refusal(
-            code, _describe_syntax_error(error, source)
+            code, f'{first.location}: {first.message}'
         ) from None
     lines = _line_numbers(text)
     return {
@@ -68,22 +73,58 @@
     }
 
 
-def _describe_syntax_error(error: configparser.Error, source: str) -> str:
+def find_syntax_errors(text: str, source: str) -> list[SyntaxProblem]:
+    """Return what prevents a parse, empty if nothing does.
+
+    The parser stops at some errors, so a text may have more of them.
+    """
+    try:
+        _new_parser().read_string(text, source)
+    except configparser.Error as error:
+        return _describe_syntax_error(error, source)
+    return []
+
+
+def _new_parser() -> configparser.ConfigParser:
+    return configparser.ConfigParser(
+        interpolation=None,
+        default_section='',
+        strict=True,
+    )
+
+
+def _describe_syntax_error(
+    error: configparser.Error, source: str
+) -> list[SyntaxProblem]:
     match error:
         case configparser.DuplicateSectionError():
-            location = f'{source}:{error.lineno}: [{error.section}]'
-            return f'{location}: the section stands twice in this file'
+            line = error.lineno or 0
+            where = f'[{error.section}]'
+            message = 'the section stands twice in this file'
         case configparser.DuplicateOptionError():
-            location = f'{source}:{error.lineno}: [{error.section}]'
-            return f'{location} {error.option}: the option stands twice'
+            line = error.lineno or 0
+            where = f'[{error.section}] {error.option}'
+            message = 'the option stands twice'
         # A subclass of ParsingError whose list of errors is empty.
         case configparser.MissingSectionHeaderError():
-            return f'{source}:{error.lineno}: a line before any section'
+            location = f'{source}:{error.lineno}'
+            return [
+                SyntaxProblem(
+                    error.lineno, location, 'a line before any section'
+                )
+            ]
         case configparser.ParsingError():
-            line, text = error.errors[0]
-            return f'{source}:{line}: neither section nor option: {text}'
+            return [
+                SyntaxProblem(
+                    line,
+                    f'{source}:{line}',
+                    f'neither section nor option: {text}',
+                )
+                for line, text in error.errors
+            ]
         case _:
-            return f'{source}: {error}'
+            return [SyntaxProblem(0, source, str(error))]
+    return [SyntaxProblem(line, f'{source}:{line}: {where}', message)]
 
 
 def _build_section(
--- a/src/poplardrum/operators/folder.py
+++ b/src/poplardrum/operators/folder.py
@@ -31,19 +31,37 @@
     conflicts: list[edits.Conflict]
 
 
-def read_files(path: pathlib.Path, bounds: documents.Bounds) -> dict[str, str]:
-    """Return the `*.ini` files of a folder, validated as an entry does.
+def load_files(path: pathlib.Path) -> dict[str, str]:
+    """Return the `*.ini` files of a folder as they are.
 
-    Raises `rules` for invalid content and `too_large` beyond the limits.
+    Raises `rules` if they cannot be read.
     """
     try:
-        files = {
+        return {
             file.name: file.read_text(encoding='utf-8')
             for file in sorted(path.iterdir())
             if file.suffix == '.ini' and file.is_file()
         }
     except (OSError, UnicodeDecodeError) as error:
         raise _rules_error(f'{path}: cannot be read: {error}') from None
+
+
+def read_files(path: pathlib.Path, bounds: documents.Bounds) -> dict[str, str]:
+    """Return the `*.ini` files of a folder, validated as an entry does.
+
+    Raises as `load_files` and `validate` do.
+    """
+    files = load_files(path)
+    validate(files, bounds)
+    return files
+
+
+def validate(files: typing.Mapping[str, str], bounds: documents.Bounds) -> None:
+    """Validate files as an entry does that stores them as the first ones.
+
+    Raises `rules` for invalid content, `bad_request` for a malformed name and
+    `too_large` beyond the limits.
+    """
     if files:
         changes = [
             edits.FileEdit(name, ids.ConfigNumber(0), text)
@@ -52,7 +70,6 @@
         edit = edits.Edit(ids.new_edit_id(), changes)
         edits.apply(documents.Document(), edit, bounds)
     rules.merge(files)
-    return files
 
 
 def read_base(path: pathlib.Path) -> Base:
--- a/src/poplardrum/operators/rules.py
+++ b/src/poplardrum/operators/rules.py
@@ -68,6 +68,13 @@
     location: str
 
 
+class Problem(typing.NamedTuple):
+    """What is wrong at a place; a syntax error has it in the message."""
+
+    location: str
+    message: str
+
+
 SectionKey = tuple[str, str]
 
 # Further problems are only counted, to keep the message readable.
@@ -109,14 +116,14 @@
         """Start without options."""
         self.sections: dict[SectionKey, dict[str, ConvertedOption]] = {}
         self.section_locations: dict[SectionKey, str] = {}
-        self.problems: list[str] = []
+        self.problems: list[Problem] = []
 
     def add_file(self, text: str, file_name: str) -> None:
         """Add a file; its options override those of earlier files."""
         try:
             sections = ini.parse(text, file_name, errors.Code.rules)
         except errors.PoplardrumError as error:
-            self.problems.append(error.message)
+            self.problems.append(Problem('', error.message))
             return
         for section in sections.values():
             self._add_section(section)
@@ -202,11 +209,14 @@
             self._add_problem(option.location, str(error))
 
     def _add_problem(self, location: str, message: str) -> None:
-        self.problems.append(f'{location}: {message}')
+        self.problems.append(Problem(location, message))
 
 
-def _format_problems(problems: list[str]) -> str:
-    shown = problems[:_MAX_LISTED_PROBLEMS]
+def _format_problems(problems: list[Problem]) -> str:
+    shown = [
+        ': '.join(filter(None, problem))
+        for problem in problems[:_MAX_LISTED_PROBLEMS]
+    ]
     if len(problems) > len(shown):
         shown.append(f'and {len(problems) - len(shown)} more')
     return '\n'.join(shown)
--- a/src/poplardrum/platform/job_api.py
+++ b/src/poplardrum/platform/job_api.py
@@ -15,7 +15,7 @@
 _JOB_ID_HEX_DIGITS: typing.Final = 16
 _MS_PER_S: typing.Final = 1000
 _MAX_CLIENT_TIMEOUT_S: typing.Final = 86400.0
-_MAX_SPECIFICATION_BYTES: typing.Final = 4000
+MAX_SPECIFICATION_BYTES: typing.Final = 4000
 _MAX_TASKS_PER_JOB: typing.Final = 1024
 
 ACCEPTED_BODY: typing.Final = b'{}'
@@ -119,7 +119,7 @@
 
 
 def _check_submission(submission: Submission) -> None:
-    if len(submission.specification.encode()) > _MAX_SPECIFICATION_BYTES:
+    if len(submission.specification.encode()) > MAX_SPECIFICATION_BYTES:
         raise errors.refusal(errors.Code.too_large, 'Specification too long')
     if not submission.steps or sum(step.count for step in submission.steps) < 1:
         raise errors.refusal(errors.Code.bad_request, 'job without tasks')
--- a/tests/test_configuration_apply.py
+++ b/tests/test_configuration_apply.py
@@ -160,6 +160,23 @@
         http.call('PUT', url, {'outage': False})
         self.assertNotIn('60.ini', self.texts())
 
+    def test_check_against_entry(self) -> None:
+        """Guards against a check that compares with something else."""
+        self.write(self.folder, '70.ini', '[worker nobody]\nstate = leaving\n')
+        before = self.number()
+        code, output = self.call('check', str(self.folder))
+        self.assertEqual(code, 1, output)
+        self.assertEqual(
+            output.splitlines(),
+            [
+                'warning: 70.ini:1: [worker nobody]: never matches: '
+                'the fleet has no such worker',
+                'difference: [worker nobody] state: added: leaving',
+                '0 errors, 1 warnings',
+            ],
+        )
+        self.assertEqual(self.number(), before)
+
     def test_wrong_input(self) -> None:
         """Guards against invalid input that is sent to an entry."""
         self.write(self.folder, '20.ini', '[limits]\nmax_wait = 3\n')
