--- a/src/poplardrum/commands/config_check.py
+++ b/src/poplardrum/commands/config_check.py
@@ -70,7 +70,7 @@
     if against is None:
         return report.finish(document_checks.check(content))
     try:
-        in_force = _read_bytes(against)
+        in_force = _read_document(against)
     except errors.PoplardrumError as error:
         return report.fail(document_checks.check(content), error)
     found = document_checks.check(content, in_force)
@@ -102,6 +102,18 @@
     return _InForce(stored.texts(), system.members)
 
 
+def _read_document(path: pathlib.Path) -> bytes:
+    """Return a document; raise `rules` unless entries can decode it."""
+    content = _read_bytes(path)
+    for finding in document_checks.read(content).found:
+        if finding.severity is findings.Severity.error:
+            raise errors.refusal(
+                errors.Code.rules,
+                f'{path}: {finding.location}: {finding.message}',
+            )
+    return content
+
+
 def _read_bytes(path: pathlib.Path) -> bytes:
     try:
         return path.read_bytes()
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -389,6 +389,25 @@
                 code, output = self.check(text, source)
                 self.assertEqual(code, expected, output)
 
+    def test_document_codes(self) -> None:
+        """Guards against a comparison with a file that is no document."""
+        path = self.path / 'new.json'
+        path.write_bytes(build({}))
+        against = self.path / 'old.json'
+        for content, expected in (
+            (build({}, Version=7), 0),
+            (build({}), 2),
+            (b'{}', 3),
+        ):
+            against.write_bytes(content)
+            with (
+                self.subTest(content),
+                contextlib.redirect_stdout(io.StringIO()),
+                contextlib.redirect_stderr(io.StringIO()),
+            ):
+                code = config_check.check_document(path, against)
+                self.assertEqual(code, expected)
+
     def test_json(self) -> None:
         """Guards against output that a script cannot read."""
         source = config_check.Source(self.path)
