--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -14,7 +14,14 @@
 from poplardrum.dispatch import membership
 from poplardrum.platform import job_api
 from poplardrum.standins import site, worker
-from tools.soak import callers, checks, crash_checks, faults, proxy
+from tools.soak import (
+    callers,
+    checks,
+    crash_checks,
+    evacuation_checks,
+    faults,
+    proxy,
+)
 
 _ENTRY_COUNT: typing.Final = 3
 _AGENT_COUNT: typing.Final = 5
@@ -86,6 +93,10 @@
         self.deadly_caller = callers.Caller(
             _CALLER_COUNT + 2, self.site, self.ledger, random.Random(seed)
         )
+        self.evacuations = evacuation_checks.Evacuations(
+            self.site, random.Random(seed)
+        )
+        self.ledger.is_evacuated = self.evacuations.is_too_late
         self.long_faults = faults.LongFaultInjector(
             self.faults, random.Random(seed)
         )
@@ -106,6 +117,7 @@
             await asyncio.gather(
                 self.faults.run(stop_at),
                 self.long_faults.run(stop_at),
+                self.evacuations.run(stop_at),
                 self._write_configurations(stop_at),
                 self.deadly_caller.submit_deadly_jobs(stop_at),
                 *(each.run(stop_at + _FAULT_FREE_S) for each in self.callers),
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -36,6 +36,10 @@
         self.crash_ledger = crash_checks.CrashLedger()
         self.endpoints: list[WatchedEndpoint] = []
         self.started_at = time.monotonic()
+        # Whether a start at an endpoint comes too late for its zone.
+        self.is_evacuated: typing.Callable[
+            [leased_endpoint.LeasedEndpoint, float], bool
+        ] = _allow
 
     def record_violation(self, rule: str, details: str) -> None:
         """Record a violated invariant with the time since the start."""
@@ -76,6 +80,16 @@
             if same_task_runs > (other is endpoint):
                 self.record_violation('two runs at once', str(run_id))
 
+    def check_zone(
+        self,
+        endpoint: 'WatchedEndpoint',
+        run_id: leased_endpoint.RunId,
+        now: float,
+    ) -> None:
+        """Check that the zone of a start is not evacuated for long."""
+        if self.is_evacuated(endpoint, now):
+            self.record_violation('start in an evacuated zone', str(run_id))
+
     def check_at_end(self) -> None:
         """Check the invariants that can only be decided at the end."""
         for job, statuses in self.reply_statuses.items():
@@ -212,4 +226,10 @@
         )
         if result is leased_endpoint.StartResult.accepted and not known:
             self.ledger.check_start(self, run_id, run.specification, now)
+            self.ledger.check_zone(self, run_id, now)
         return result
+
+
+def _allow(_endpoint: leased_endpoint.LeasedEndpoint, _now: float) -> bool:
+    """Return that starts may happen at any time."""
+    return False
