Add the gauges of evacuated zones to whatever gauges an entry has

Cause: they replaced gauges that another part would add before them. Found by reading two parts side by side before their merge; no behaviour changes yet.

--- a/src/poplardrum/dispatch/entry_evacuations.py
+++ b/src/poplardrum/dispatch/entry_evacuations.py
@@ -44,10 +44,6 @@
         if self.reader.view.are_all_evacuated():
             raise self._refusal()
 
-    def gauges(self) -> dict[str, float]:
-        """Return the gauges of the handler and those of the reader."""
-        return self.handler.read_gauges() | self.reader.gauges()
-
     def _refuse_waiting_jobs(self) -> None:
         """Refuse the jobs that nothing was started of; stored ones wait."""
         for job in self.coordinator.jobs.values():
@@ -84,5 +80,10 @@
     )
     reader.on_change = entry_evacuations.handle_change
     handler.check_open = entry_evacuations.check_open
-    handler.metrics.gauges = entry_evacuations.gauges
+    other_gauges = handler.metrics.gauges
+
+    def gauges() -> dict[str, float]:
+        return other_gauges() | reader.gauges()
+
+    handler.metrics.gauges = gauges
     return [('evacuated zones', reader.watch)]
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -54,7 +54,7 @@
         self.started_at = clocks.now()
         self.peak_usable = 0
         self.metrics = metrics.Metrics()
-        self.metrics.gauges = self.read_gauges
+        self.metrics.gauges = self._read_gauges
         self.predictors = estimates.PredictorTable()
         self.stop_at = math.inf
         self.stopping = False
@@ -180,8 +180,7 @@
         """Return whether this entry has open requests or owns stored jobs."""
         return bool(self.open_requests or self.stored_jobs.ownership.owned_jobs)
 
-    def read_gauges(self) -> dict[str, float]:
-        """Return the current values of the gauges."""
+    def _read_gauges(self) -> dict[str, float]:
         configuration = self.route_table.configuration
         agents = self.coordinator.agents.values()
         return {
