--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -67,7 +67,10 @@
             config.node, config.zone, self._maintain_link, self._link_demand
         )
         self.reporter = load_reports.LoadReporter(
-            task_executor, self.links, config.zone
+            task_executor,
+            self.links,
+            config.zone,
+            forecasts_room=config.has_short_room,
         )
         task_executor.broadcast_completion = self._broadcast
         task_executor.monitor.crashes.publish = self._broadcast
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -13,6 +13,7 @@
     fleet,
     job_placer,
     jobs,
+    look_ahead,
     messages,
     moves,
     return_times,
@@ -35,10 +36,17 @@
 class Coordinator:
     """Place the tasks of all jobs that this entry has accepted."""
 
-    def __init__(self, zone: str, far_factor: float = 1) -> None:
+    def __init__(
+        self,
+        zone: str,
+        far_factor: float = 1,
+        *,
+        looks_ahead: bool = False,
+    ) -> None:
         """Create a coordinator without agents and jobs.
 
         Tasks take `far_factor` times as long outside the rack of their data.
+        With `looks_ahead`, placement considers what runs will end soon.
         """
         self.zone = zone
         self.agents: dict[ids.Incarnation, fleet.Agent] = {}
@@ -53,6 +61,8 @@
         self.placer = job_placer.JobPlacer(
             self.index, far_factor, self.continuity, self.suspects
         )
+        if looks_ahead:
+            self.placer.look_ahead = look_ahead.LookAhead(self.index)
         self.completion_rate = return_times.CompletionRate()
         self.return_times = return_times.ReturnTimes()
         # Handles completions of runs that this entry did not start.
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -36,6 +36,9 @@
     # How often its link was lost.
     losses: int = 0
     linked_at: float = 0.0
+    # Cores that its runs are expected to leave, as of `forecast_at`.
+    forecast: tuple[int, ...] = ()
+    forecast_at: float = 0.0
     # Tasks that are placed here, by job and index.
     placed: set[TaskKey] = dataclasses.field(default_factory=set)
     in_flight: collections.deque[tuple[int, messages.Resources]] = (
@@ -108,6 +111,8 @@
         self.capacity = load.capacity
         while self.in_flight and self.in_flight[0][0] <= load.starts_received:
             self.in_flight.popleft()
+        self.forecast = load.forecast
+        self.forecast_at = clocks.now()
         self.free = load.free
         for _, total in self.in_flight:
             self.free = self.free.minus(total)
@@ -121,6 +126,7 @@
         self.starts_sent = 0
         self.in_flight.clear()
         self.accepting = False
+        self.forecast = ()
         self.on_change(self)
 
     def on_disconnected(self) -> None:
--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import math
+import typing
 
 from poplardrum import ids, log_events
 from poplardrum.dispatch import (
@@ -11,6 +12,7 @@
     crash_suspects,
     fleet,
     jobs,
+    look_ahead,
     messages,
     placement,
     room_index,
@@ -45,6 +47,8 @@
         self.next_suspect_at = 0.0
         self.wakes_at = 0.0
         self.far_factor = far_factor
+        # Where room runs short.
+        self.look_ahead: look_ahead.LookAhead | None = None
         # Jobs that may have tasks to place.
         self.pending_jobs: dict[ids.JobId, jobs.Job] = {}
         self.is_scheduled = False
@@ -56,6 +60,8 @@
     def remove(self, job: jobs.Job) -> None:
         """Place no more tasks of a job."""
         self.pending_jobs.pop(job.id, None)
+        if self.look_ahead is not None:
+            self.look_ahead.forget(job)
 
     def schedule(self) -> None:
         """Place waiting tasks in the next iteration of the event loop."""
@@ -90,7 +96,7 @@
         now = asyncio.get_running_loop().time()
         min_slowness = self.index.min_slowness()
         allowed.sort(key=lambda job: job.placement_priority(now, min_slowness))
-        for job in allowed:
+        for job in self._in_turn(allowed, now):
             # A job that waits for a fast endpoint does not block the others.
             if self._place_job(job):
                 self.pending_jobs.pop(job.id)
@@ -177,12 +183,26 @@
     ) -> bool:
         now = asyncio.get_running_loop().time()
         request = placement.request_for(job, step, tasks, self.far_factor, now)
-        placements = placement.choose_agents(self.index, request)
+        placements = self._choose_agents(job, request, now)
         for agent, count in placements:
             self._start_tasks(job, agent, tasks[:count])
             tasks = tasks[count:]
         return not tasks
 
+    def _in_turn(
+        self, allowed: list[jobs.Job], now: float
+    ) -> typing.Iterable[jobs.Job]:
+        if self.look_ahead is None:
+            return allowed
+        return self.look_ahead.take_turns(allowed, now)
+
+    def _choose_agents(
+        self, job: jobs.Job, request: placement.PlacementRequest, now: float
+    ) -> list[placement.Placement]:
+        if self.look_ahead is None:
+            return placement.choose_agents(self.index, request)
+        return self.look_ahead.choose_agents(job, request, now)
+
     def _start_tasks(
         self,
         job: jobs.Job,
--- a/src/poplardrum/dispatch/load_reports.py
+++ b/src/poplardrum/dispatch/load_reports.py
@@ -12,7 +12,15 @@
 import functools
 import typing
 
-from poplardrum.dispatch import clocks, connections, executor, messages
+import msgspec
+
+from poplardrum.dispatch import (
+    clocks,
+    connections,
+    executor,
+    room_forecast,
+    messages,
+)
 
 _IDLE_REPORT_INTERVAL_S: typing.Final = 1.0
 _MIN_REPORT_INTERVAL_S: typing.Final = 0.004
@@ -83,8 +91,14 @@
         task_executor: executor.Executor,
         links: set[connections.Link],
         zone: str,
+        *,
+        forecasts_room: bool = False,
     ) -> None:
-        """Report to `links` from an agent in `zone`."""
+        """Report to `links` from an agent in `zone`.
+
+        With `forecasts_room` each report says what room will become free.
+        """
+        self.forecasts_room = forecasts_room
         self.executor = task_executor
         self.links = links
         self.zone = zone
@@ -155,6 +169,13 @@
     def _record_sent(
         self, link: connections.Link, load: messages.Load
     ) -> messages.Load:
+        """Return a load with the forecast, which alone causes no report."""
+        now = clocks.now()
         link.load_sent = load
-        link.load_sent_at = clocks.now()
-        return load
+        link.load_sent_at = now
+        if not self.forecasts_room:
+            return load
+        forecast = room_forecast.room_ahead(
+            self.executor.runs.values(), load.slowness, now
+        )
+        return msgspec.structs.replace(load, forecast=forecast)
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -279,7 +279,8 @@
 
     `slowness` is the expected ratio of actual to estimated durations.
     `starts_received` is the number of `StartTasks` of this connection that
-    `free` accounts for.
+    `free` accounts for. `forecast` has the cores that runs are expected to leave
+    by each time of `forecasts.POINTS_S`; it is empty where nobody looks ahead.
     """
 
     starts_received: int
@@ -289,6 +290,7 @@
     slowness: float
     service: str
     labels: list[str]
+    forecast: tuple[int, ...] = ()
 
 
 AnyMessage = (
--- a/src/poplardrum/dispatch/placement.py
+++ b/src/poplardrum/dispatch/placement.py
@@ -14,7 +14,8 @@
     `max_slowness` is the slowness up to which the job meets its target latency.
     Runs of the tasks have failed at `avoided_nodes`. At most `spread_limit`
     tasks run at one node, unless that is 0; `tasks_by_node` has the number of
-    those already placed.
+    those already placed. The tasks use at most the CPU in `cpu_limits` of the
+    agents in it, in millicores.
     """
 
     demand: messages.Resources
@@ -28,6 +29,7 @@
     is_last_resort: bool = True
     spread_limit: int = 0
     tasks_by_node: typing.Mapping[str, int] = types.MappingProxyType({})
+    cpu_limits: typing.Mapping[fleet.Agent, int] = types.MappingProxyType({})
 
 
 # An agent and the number of tasks for it.
@@ -178,6 +180,9 @@
 
 def _count_fitting(agent: fleet.Agent, request: PlacementRequest) -> int:
     count = agent.count_fitting(request.demand)
+    if agent in request.cpu_limits:
+        need = max(request.demand.cpu_millicores, 1)
+        count = min(count, request.cpu_limits[agent] // need)
     if not request.spread_limit:
         return count
     return min(
--- a/src/poplardrum/dispatch/room_index.py
+++ b/src/poplardrum/dispatch/room_index.py
@@ -118,6 +118,14 @@
             wanted -= speed_class.agent_count
         return free / capacity if capacity else 1.0
 
+    def agents(self, service: str, label: str) -> list[fleet.Agent]:
+        """Return the usable agents of a service that have a label."""
+        return [
+            agent
+            for agent in self.positions
+            if agent.is_usable() and agent.matches(service, label)
+        ]
+
     def speeds(self, service: str) -> list[int]:
         """Return the speed classes of a service, fastest first."""
         return sorted(self.services.get(service, {}))
--- a/src/poplardrum/platform/settings_file.py
+++ b/src/poplardrum/platform/settings_file.py
@@ -97,6 +97,14 @@
     memory_mb: int = 0
     descriptors: int = 0
 
+    @property
+    def has_short_room(self) -> bool:
+        """Return whether room may run short while the hosts are well.
+
+        It does where whole zones are evacuated. Placement then looks ahead.
+        """
+        return self.evacuation_bound is not None
+
 
 def load(path: pathlib.Path) -> ProcessSettings:
     """Read the settings; raise `settings` with the file and the field."""
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -243,6 +243,7 @@
 
     node: str = 'side-1'
     zone: str = 'toledo'
+    has_short_room: bool = False
 
 
 class World:
