--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -339,7 +339,8 @@
             job.outcome.set_exception(
                 errors.refusal(
                     errors.Code.overload,
-                    f'no room in time: {usable} agents usable, '
+                    f'no room in time for {len(job.tasks)} tasks: '
+                    f'{usable} agents usable, '
                     f'{len(self.placer.pending_jobs)} jobs waiting',
                     retry_after=self._return_time(job),
                 ),
--- a/src/poplardrum/dispatch/exposition.py
+++ b/src/poplardrum/dispatch/exposition.py
@@ -8,6 +8,9 @@
 from poplardrum import latencies
 from poplardrum.dispatch import metrics
 
+# What the label of a summary names, unless it is the queue.
+_LABELS: typing.Final = {'placement_wait_seconds': 'width'}
+
 
 class _Collector(registry.Collector):
     def __init__(self, process_metrics: metrics.Metrics, prefix: str) -> None:
@@ -44,14 +47,15 @@
 
 
 def _summary(name: str, histograms: latencies.LatencyHistograms) -> core.Metric:
-    family = core.Metric(name, 'seconds by queue', 'summary')
+    label = _LABELS.get(name.removeprefix(metrics.PREFIX), 'queue')
+    family = core.Metric(name, f'seconds by {label}', 'summary')
     for labels in histograms.series:
-        queue: dict[str, str] = {'queue': labels[1]}
+        series: dict[str, str] = {label: labels[1]}
         for quantile in latencies.QUANTILES:
             family.add_sample(
                 name,
-                {**queue, 'quantile': str(quantile)},
+                {**series, 'quantile': str(quantile)},
                 histograms.quantile(labels, quantile),
             )
-        family.add_sample(f'{name}_count', queue, histograms.count(labels))
+        family.add_sample(f'{name}_count', series, histograms.count(labels))
     return family
--- a/src/poplardrum/dispatch/look_ahead.py
+++ b/src/poplardrum/dispatch/look_ahead.py
@@ -34,6 +34,13 @@
 GRACE_S: typing.Final = 0.05
 # Reservations are logged at most this often.
 _LOG_INTERVAL_S: typing.Final = 1.0
+_WIDTH_CLASSES: typing.Final = (
+    (2, '1-2'),
+    (4, '3-4'),
+    (8, '5-8'),
+    (16, '9-16'),
+)
+_WIDEST: typing.Final = '17+'
 
 
 @dataclasses.dataclass
@@ -69,10 +76,9 @@
         self.index = index
         self.heard_clock = heard_clock
         self.outlooks = room_outlook.Outlooks(index, heard_clock)
-        self.reservation: Reservation | None = None
-        # Whether no earlier job of the pass waits for room.
-        self.is_first = True
-        # CPU that earlier jobs of the pass wait for, by service.
+        # At most one for each service.
+        self.reservations: dict[str, Reservation] = {}
+        # CPU that earlier jobs of the pass wait for, by service, in millicores.
         self.claimed: dict[str, int] = {}
         # Started jobs of the pass that are expected to be late.
         self.deferred: dict[ids.JobId, jobs.Job] = {}
@@ -90,21 +96,20 @@
         Those that have started and are expected to be late come once more at
         the end, for the room that the others have left.
         """
-        self.is_first = True
         self.serves_deferred = False
         self.claimed.clear()
         self.deferred.clear()
-        reservation = self.reservation
-        if reservation is not None and now >= reservation.expires_at:
-            self._end_reservation('expired')
+        for service, reservation in list(self.reservations.items()):
+            if now >= reservation.expires_at:
+                self._end_reservation(service, 'expired')
         yield from ordered
         self.serves_deferred = True
         yield from self.deferred.values()
 
     def forget(self, job: jobs.Job) -> None:
         """Give up what a job has reserved: it is over."""
-        if self.reservation is not None and self.reservation.job == job.id:
-            self._end_reservation('given_up')
+        if self._has_reservation(job):
+            self._end_reservation(job.service, 'given_up')
 
     def choose_agents(
         self,
@@ -124,16 +129,16 @@
         placements = self._choose_unreserved(job, request, now)
         missing = request.task_count - sum(count for _, count in placements)
         if not missing:
-            if self.reservation is not None and self.reservation.job == job.id:
-                self._end_reservation('used')
+            if self._has_reservation(job):
+                self._end_reservation(job.service, 'used')
             return placements
         outlook = self.outlooks.get(request, now)
         need = request.demand.cpu_millicores
-        wanted = self.claimed.get(job.service, 0) + missing * need
+        claimed = self.claimed.get(job.service, 0)
+        wanted = claimed + missing * need
         if outlook.expected_tasks(job, request) * need >= wanted:
             self.claimed[job.service] = wanted
-            if self.is_first:
-                self.is_first = False
+            if not claimed:
                 self._reserve(job, request, missing, outlook)
             return placements
         self.forget(job)
@@ -160,7 +165,7 @@
         now: float,
     ) -> list[placement.Placement]:
         """Choose agents without delaying the job that has a reservation."""
-        reservation = self.reservation
+        reservation = self.reservations.get(job.service)
         if reservation is None or reservation.job == job.id:
             return placement.choose_agents(self.index, request)
         ends_at = now + job.remaining_duration() * reservation.slowness
@@ -177,9 +182,14 @@
     def _limited(
         self, request: placement.PlacementRequest
     ) -> placement.PlacementRequest:
-        if self.reservation is None:
+        reservation = self.reservations.get(request.service)
+        if reservation is None:
             return request
-        return request._replace(cpu_limits=self.reservation.spare)
+        return request._replace(cpu_limits=reservation.spare)
+
+    def _has_reservation(self, job: jobs.Job) -> bool:
+        reservation = self.reservations.get(job.service)
+        return reservation is not None and reservation.job == job.id
 
     def _reserve(
         self,
@@ -189,22 +199,22 @@
         outlook: room_outlook.Outlook,
     ) -> None:
         """Reserve the room that is free first for the first waiting job."""
-        current = self.reservation
-        if current is not None:
-            if current.job == job.id and current.made_from is outlook:
-                return
-            if current.job != job.id:
-                self._end_reservation('given_up')
+        current = self.reservations.get(job.service)
+        if current is not None and current.job != job.id:
+            self._end_reservation(job.service, 'given_up')
+            current = None
+        if current is not None and current.made_from is outlook:
+            return
         found = earliest_room(self.index, request, missing, self.heard_clock())
         if found is None:
             return
         ahead, spare = found
-        if current is None or current.job != job.id:
+        if current is None:
             self.count('reservations', 'made')
             self._log(job, missing, ahead, len(spare), outlook.made_at)
         ready_at = outlook.made_at + ahead
         slowness = max(agent.slowness for agent in spare)
-        self.reservation = Reservation(
+        self.reservations[job.service] = Reservation(
             job.id,
             ready_at,
             min(ready_at + GRACE_S, job.latest_start(slowness)),
@@ -213,8 +223,8 @@
             outlook,
         )
 
-    def _end_reservation(self, how: str) -> None:
-        self.reservation = None
+    def _end_reservation(self, service: str, how: str) -> None:
+        self.reservations.pop(service)
         self.count('reservations', how)
 
     def _log(
@@ -271,3 +281,11 @@
 
 def _count_nothing(name: str, kind: str) -> None:
     """Count nothing."""
+
+
+def width_label(tasks: int) -> str:
+    """Return the class of a job's number of tasks, for metrics."""
+    for highest, label in _WIDTH_CLASSES:
+        if tasks <= highest:
+            return label
+    return _WIDEST
--- a/src/poplardrum/dispatch/metrics.py
+++ b/src/poplardrum/dispatch/metrics.py
@@ -9,7 +9,7 @@
 
 PORT: typing.Final = 9464
 PATH: typing.Final = '/metrics'
-_PREFIX: typing.Final = 'poplardrum_'
+PREFIX: typing.Final = 'poplardrum_'
 _NO_TENANT: typing.Final = ids.TenantName('')
 
 
@@ -46,6 +46,6 @@
         from poplardrum.dispatch import exposition
 
         return web_response.Response(
-            body=exposition.render(self, _PREFIX),
+            body=exposition.render(self, PREFIX),
             content_type='text/plain',
         )
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -14,6 +14,7 @@
     coordinator,
     estimates,
     jobs,
+    look_ahead,
     metrics,
     reloading,
     responses,
@@ -55,6 +56,8 @@
         self.peak_usable = 0
         self.metrics = metrics.Metrics()
         self.metrics.gauges = self._read_gauges
+        if job_coordinator.placer.look_ahead is not None:
+            job_coordinator.placer.look_ahead.count = self.metrics.increment
         self.predictors = estimates.PredictorTable()
         self.stop_at = math.inf
         self.stopping = False
@@ -134,6 +137,11 @@
         except asyncio.CancelledError:
             self._record_disconnect(job)
             raise
+        except errors.PoplardrumError:
+            self.metrics.increment(
+                'refused_by_width', look_ahead.width_label(len(job.tasks))
+            )
+            raise
         finally:
             self.coordinator.finish(job)
         is_single_step = len(job.steps) == 1
@@ -165,6 +173,12 @@
             job.queue,
             job.started_at - job.arrived_at,
         )
+        if self.coordinator.placer.look_ahead is not None:
+            self.metrics.observe(
+                'placement_wait_seconds',
+                look_ahead.width_label(len(job.tasks)),
+                job.last_placed_at - job.arrived_at,
+            )
         responses.log_job(job, outcome.value, now)
 
     def _record_disconnect(self, job: jobs.Job) -> None:
