--- a/bench/look_ahead_model.py
+++ b/bench/look_ahead_model.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -150,6 +151,8 @@
         self, seed: int, load: float, *, agents: int, looks_ahead: bool
     ) -> None:
         """Prepare 8 entries; `load` scales the rates of all kinds."""
+        # Arrivals do not depend on what is done with them.
+        self.arrivals = random.Random(seed)
         self.random = random.Random(seed)
         self.load = load
         # Actual against predicted durations.
@@ -158,8 +161,7 @@
         self.events: list[tuple[float, int, typing.Callable[[], None]]] = []
         self.sequence = itertools.count()
         self.entries = [
-            Entry(number, lambda: self.now, looks=looks_ahead)
-            for number in range(8)
+            Entry(number, self._clock, looks=looks_ahead) for number in range(8)
         ]
         self.result = Result(
             collections.Counter(),
@@ -184,6 +186,9 @@
             call()
         return self.result
 
+    def _clock(self) -> float:
+        return self.now
+
     def _after(self, delay: float, call: typing.Callable[[], None]) -> None:
         heapq.heappush(
             self.events, (self.now + delay, next(self.sequence), call)
@@ -201,17 +206,19 @@
         peer.apply_load(0)
 
     def _arrive(self, kind: Kind, until: float) -> None:
-        delay = self.random.expovariate(kind.rate * self.load)
+        delay = self.arrivals.expovariate(kind.rate * self.load)
         if self.now + delay < until:
             self._after(delay, lambda: self._submit(kind, until))
 
     def _submit(self, kind: Kind, until: float) -> None:
         self._arrive(kind, until)
-        width = max(round(self.random.gammavariate(5, kind.width / 5)), 1)
-        need = messages.Resources(self.random.randint(*NEED_MILLICORES), 64, 0)
+        width = max(round(self.arrivals.gammavariate(5, kind.width / 5)), 1)
+        need = messages.Resources(
+            self.arrivals.randint(*NEED_MILLICORES), 64, 0
+        )
         job = make_job(next(self.sequence), kind, width, need, self.now)
-        self.result.arrived[look_ahead.width_label(width)] += 1
-        entry = self.random.choice(self.entries)
+        self.result.arrived[jobs.width_label(width)] += 1
+        entry = self.arrivals.choice(self.entries)
         entry.waiting[job.id] = job
         self._schedule(entry)
         self._after(
@@ -220,7 +227,8 @@
         self._after(job.refuse_at - self.now, lambda: self._refuse(entry, job))
 
     def _refuse(self, entry: Entry, job: jobs.Job) -> None:
-        if not job.started and entry.waiting.pop(job.id, None):
+        if not job.started and job.id in entry.waiting:
+            entry.waiting.pop(job.id)
             entry.look_ahead.forget(job)
 
     def _schedule(self, entry: Entry) -> None:
@@ -232,9 +240,7 @@
         entry.is_scheduled = False
         for job in entry.in_turn(self.now):
             tasks = job.ready_tasks()
-            request = placement.request_for(
-                job, job.steps[0], tasks, 1, self.now
-            )
+            request = request_for(job, self.now)
             for view, count in entry.choose(job, request, self.now):
                 self._send(job, self.peers[view], tasks[:count])
                 tasks = tasks[count:]
@@ -284,7 +290,7 @@
         task.leave_agent(job.id, jobs.Phase.done)
         peer.apply_load(self.now)
         if all(each.phase is jobs.Phase.done for each in job.tasks):
-            label = look_ahead.width_label(len(job.tasks))
+            label = jobs.width_label(len(job.tasks))
             self.result.waits[label].append(
                 max(each.placed_at for each in job.tasks) - job.arrived_at
             )
@@ -309,7 +315,7 @@
                 is_far = peer.entry.zone != endpoint.zone
                 delay = self.random.uniform(0, REPORT_INTERVALS_S[is_far])
                 self._after(
-                    delay + ONE_WAY_S, lambda peer=peer: self._deliver(peer)
+                    delay + ONE_WAY_S, functools.partial(self._deliver, peer)
                 )
 
     def _deliver(self, peer: Peer) -> None:
@@ -344,3 +350,8 @@
         deadline=now + 30.0,
         outcome=typing.cast(typing.Any, None),
     )
+
+
+def request_for(job: jobs.Job, now: float) -> placement.PlacementRequest:
+    """Return the request to place the waiting tasks of a job."""
+    return placement.request_for(job, job.steps[0], job.ready_tasks(), 1, now)
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -13,7 +13,6 @@
     fleet,
     job_placer,
     jobs,
-    look_ahead,
     messages,
     moves,
     return_times,
@@ -59,10 +58,12 @@
             self.jobs, self.suspects
         )
         self.placer = job_placer.JobPlacer(
-            self.index, far_factor, self.continuity, self.suspects
+            self.index,
+            far_factor,
+            self.continuity,
+            self.suspects,
+            looks_ahead=looks_ahead,
         )
-        if looks_ahead:
-            self.placer.look_ahead = look_ahead.LookAhead(self.index)
         self.completion_rate = return_times.CompletionRate()
         self.return_times = return_times.ReturnTimes()
         # Handles completions of runs that this entry did not start.
--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -35,6 +35,8 @@
         far_factor: float,
         process_continuity: continuity.Continuity,
         suspects: crash_suspects.CrashSuspects,
+        *,
+        looks_ahead: bool = False,
     ) -> None:
         """Place tasks on the agents of an index.
 
@@ -48,7 +50,7 @@
         self.wakes_at = 0.0
         self.far_factor = far_factor
         # Where room runs short.
-        self.look_ahead: look_ahead.LookAhead | None = None
+        self.look_ahead = look_ahead.LookAhead(index) if looks_ahead else None
         # Jobs that may have tasks to place.
         self.pending_jobs: dict[ids.JobId, jobs.Job] = {}
         self.is_scheduled = False
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -18,6 +18,14 @@
 # A job accepts endpoints of any speed this long before it is refused.
 _LAST_RESORT_S: typing.Final = 0.02
 
+_WIDTH_CLASSES: typing.Final = (
+    (2, '1-2'),
+    (4, '3-4'),
+    (8, '5-8'),
+    (16, '9-16'),
+)
+_WIDEST: typing.Final = '17+'
+
 
 class Phase(enum.Enum):
     """Phase of a task.
@@ -310,3 +318,11 @@
         )
         completed_at.append(started_at + step.estimate)
     return max(completed_at, default=0.0)
+
+
+def width_label(tasks: int) -> str:
+    """Return the class of a job's number of tasks, for metrics."""
+    for highest, label in _WIDTH_CLASSES:
+        if tasks <= highest:
+            return label
+    return _WIDEST
--- a/src/poplardrum/dispatch/look_ahead.py
+++ b/src/poplardrum/dispatch/look_ahead.py
@@ -34,13 +34,6 @@
 GRACE_S: typing.Final = 0.05
 # Reservations are logged at most this often.
 _LOG_INTERVAL_S: typing.Final = 1.0
-_WIDTH_CLASSES: typing.Final = (
-    (2, '1-2'),
-    (4, '3-4'),
-    (8, '5-8'),
-    (16, '9-16'),
-)
-_WIDEST: typing.Final = '17+'
 
 
 @dataclasses.dataclass
@@ -132,30 +125,40 @@
             if self._has_reservation(job):
                 self._end_reservation(job.service, 'used')
             return placements
-        outlook = self.outlooks.get(request, now)
-        need = request.demand.cpu_millicores
-        claimed = self.claimed.get(job.service, 0)
-        wanted = claimed + missing * need
-        if outlook.expected_tasks(job, request) * need >= wanted:
-            self.claimed[job.service] = wanted
-            if not claimed:
-                self._reserve(job, request, missing, outlook)
+        if self._claim(job, request, missing, now):
             return placements
         self.forget(job)
         if job.started:
             self.deferred[job.id] = job
-        elif self._may_try(job, now):
-            self.count('late_jobs', 'tried')
-            return placements
-        elif placements:
-            self.count('late_jobs', 'held')
-        return []
+            return []
+        return placements if self._may_try(job, now) else []
+
+    def _claim(
+        self,
+        job: jobs.Job,
+        request: placement.PlacementRequest,
+        missing: int,
+        now: float,
+    ) -> bool:
+        """Claim room that is expected in time; return whether there is enough."""
+        outlook = self.outlooks.get(request, now)
+        need = request.demand.cpu_millicores
+        claimed = self.claimed.get(job.service, 0)
+        wanted = claimed + missing * need
+        if outlook.expected_tasks(job, request) * need < wanted:
+            return False
+        self.claimed[job.service] = wanted
+        if not claimed:
+            self._reserve(job, request, missing, outlook)
+        return True
 
     def _may_try(self, job: jobs.Job, now: float) -> bool:
         """Return whether a job starts though it is expected to be late."""
         if now < job.last_resort_at or now < self.tried_at + TRIAL_INTERVAL_S:
+            self.count('late_jobs', 'held')
             return False
         self.tried_at = now
+        self.count('late_jobs', 'tried')
         return True
 
     def _choose_unreserved(
@@ -263,29 +266,33 @@
         or placement.effective_slowness(agent, request) <= request.max_slowness
     ]
     for ahead in forecasts.POINTS_S:
-        expected = {
-            agent: forecasts.expected_free_cpu(agent, heard_now + ahead)
-            for agent in agents
-        }
-        remaining = task_count
-        spare: dict[fleet.Agent, int] = {}
-        for agent in sorted(agents, key=lambda each: -expected[each]):
-            count = min(max(expected[agent], 0) // need, remaining)
-            if count:
-                spare[agent] = expected[agent] - count * need
-                remaining -= count
-            if not remaining:
-                return ahead, spare
+        spare = _take_room(
+            {
+                agent: forecasts.expected_free_cpu(agent, heard_now + ahead)
+                for agent in agents
+            },
+            need,
+            task_count,
+        )
+        if spare is not None:
+            return ahead, spare
     return None
 
 
-def _count_nothing(name: str, kind: str) -> None:
-    """Count nothing."""
+def _take_room(
+    free: dict[fleet.Agent, int], need: int, task_count: int
+) -> dict[fleet.Agent, int] | None:
+    """Return the CPU that tasks leave at the agents that they need."""
+    spare: dict[fleet.Agent, int] = {}
+    for agent in sorted(free, key=free.__getitem__, reverse=True):
+        count = min(max(free[agent], 0) // need, task_count)
+        if count:
+            spare[agent] = free[agent] - count * need
+            task_count -= count
+        if not task_count:
+            return spare
+    return None
 
 
-def width_label(tasks: int) -> str:
-    """Return the class of a job's number of tasks, for metrics."""
-    for highest, label in _WIDTH_CLASSES:
-        if tasks <= highest:
-            return label
-    return _WIDEST
+def _count_nothing(name: str, kind: str) -> None:
+    """Count nothing."""
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -14,7 +14,6 @@
     coordinator,
     estimates,
     jobs,
-    look_ahead,
     metrics,
     reloading,
     responses,
@@ -139,7 +138,7 @@
             raise
         except errors.PoplardrumError:
             self.metrics.increment(
-                'refused_by_width', look_ahead.width_label(len(job.tasks))
+                'refused_by_width', jobs.width_label(len(job.tasks))
             )
             raise
         finally:
@@ -176,7 +175,7 @@
         if self.coordinator.placer.look_ahead is not None:
             self.metrics.observe(
                 'placement_wait_seconds',
-                look_ahead.width_label(len(job.tasks)),
+                jobs.width_label(len(job.tasks)),
                 job.last_placed_at - job.arrived_at,
             )
         responses.log_job(job, outcome.value, now)
--- a/src/poplardrum/dispatch/room_forecast.py
+++ b/src/poplardrum/dispatch/room_forecast.py
@@ -13,7 +13,7 @@
     runs: typing.Iterable[endpoint_runs.Run], slowness: float, now: float
 ) -> tuple[int, ...]:
     """Return the cores that runs leave by each of `forecasts.POINTS_S`."""
-    freed = [0] * len(forecasts.POINTS_S)
+    freed = [0 for _ in forecasts.POINTS_S]
     for run in runs:
         remaining = remaining_time(run, slowness, now)
         for number, point in enumerate(forecasts.POINTS_S):
--- a/src/poplardrum/dispatch/room_outlook.py
+++ b/src/poplardrum/dispatch/room_outlook.py
@@ -85,7 +85,7 @@
             )
             speed = round(agent.slowness / room_index.SLOWNESS_STEP)
             totals = tasks_by_speed.setdefault(
-                speed, [0] * len(forecasts.POINTS_S)
+                speed, [0 for _ in forecasts.POINTS_S]
             )
             for number, tasks in enumerate(_new_tasks(agent, need, heard_now)):
                 totals[number] += tasks
