--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -87,12 +87,7 @@
             if not job.outcome.done() and job.ready_tasks()
         ]
         self.pending_jobs = {job.id: job for job in waiting}
-        allowed = [
-            job
-            for job in waiting
-            if job.min_cpu() <= self.index.max_free_cpu(job.service)
-            and (job.owner is None or job.owner.may_start(job))
-        ]
+        allowed = self._allowed(waiting)
         if not allowed:
             return
         now = asyncio.get_running_loop().time()
@@ -191,6 +186,23 @@
             tasks = tasks[count:]
         return not tasks
 
+    def _allowed(self, waiting: list[jobs.Job]) -> list[jobs.Job]:
+        """Return the jobs that may have agents, none if nothing has room.
+
+        To look ahead, those have a turn as well that need more room than there
+        is now at one agent: others may take what they wait for.
+        """
+        fitting = [
+            job
+            for job in waiting
+            if job.min_cpu() <= self.index.max_free_cpu(job.service)
+        ]
+        return [
+            job
+            for job in (waiting if self.look_ahead and fitting else fitting)
+            if job.owner is None or job.owner.may_start(job)
+        ]
+
     def _in_turn(
         self, allowed: list[jobs.Job], now: float
     ) -> typing.Iterable[jobs.Job]:
--- a/tests/test_look_ahead.py
+++ b/tests/test_look_ahead.py
@@ -9,6 +9,7 @@
 
 from poplardrum import ids
 from poplardrum.dispatch import (
+    clocks,
     connections,
     coordinator,
     endpoint_runs,
@@ -362,21 +363,39 @@
 class TestSwitch(unittest.IsolatedAsyncioTestCase):
     """Only deployments whose room may run short look ahead."""
 
-    async def place_wide(self, *, looks_ahead: bool) -> bool:
-        """Return whether a job starts of which only a part can be in time."""
+    async def place(
+        self, *submitted: jobs.Job, free: int, looks_ahead: bool
+    ) -> list[bool]:
+        """Return which jobs start that are submitted to an entry."""
         site = Site()
         entry = coordinator.Coordinator('toledo', looks_ahead=looks_ahead)
         site.index = entry.index
-        site.add_agent(16000, (0, 0, 0))
-        job = make_job('wide', 16, target=0.5)
+        agent = site.add_agent(free, (0, 6, 6))
+        agent.forecast_at = clocks.now()
         loop = asyncio.get_running_loop()
-        job.outcome = loop.create_future()
-        job.arrived_at = loop.time()
-        job.refuse_at, job.deadline = loop.time() + 20, loop.time() + 30
-        entry.submit(job)
+        for job in submitted:
+            job.outcome = loop.create_future()
+            job.arrived_at = loop.time()
+            job.refuse_at, job.deadline = loop.time() + 20, loop.time() + 30
+            entry.submit(job)
         await asyncio.sleep(0)
         await asyncio.sleep(0)
-        return job.started
+        return [job.started for job in submitted]
+
+    async def place_wide(self, *, looks_ahead: bool) -> bool:
+        """Return whether a job starts of which only a part can be in time."""
+        job = make_job('wide', 16, target=0.5)
+        return any(await self.place(job, free=16000, looks_ahead=looks_ahead))
+
+    async def test_job_larger_than_all_gaps_has_a_turn(self) -> None:
+        """Guards against gaps that are filled before anyone may reserve them."""
+        started = await self.place(
+            make_job('wide', 1, target=0.5, cpu=9000),
+            make_job('narrow', 1, 0.4, target=5.0, cpu=4000),
+            free=4000,
+            looks_ahead=True,
+        )
+        self.assertEqual(started, [False, False])
 
     async def test_off_places_as_before(self) -> None:
         """Guards against other decisions where nobody asked for them."""
