--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -35,10 +35,17 @@
 class Coordinator:
     """Place the tasks of all jobs that this entry has accepted."""
 
-    def __init__(self, zone: str, far_factor: float = 1) -> None:
+    def __init__(
+        self,
+        zone: str,
+        far_factor: float = 1,
+        *,
+        looks_ahead: bool = False,
+    ) -> None:
         """Create a coordinator without agents and jobs.
 
         Tasks take `far_factor` times as long outside the rack of their data.
+        With `looks_ahead`, placement considers what runs will end soon.
         """
         self.zone = zone
         self.agents: dict[ids.Incarnation, fleet.Agent] = {}
@@ -51,7 +58,11 @@
             self.jobs, self.suspects
         )
         self.placer = job_placer.JobPlacer(
-            self.index, far_factor, self.continuity, self.suspects
+            self.index,
+            far_factor,
+            self.continuity,
+            self.suspects,
+            looks_ahead=looks_ahead,
         )
         self.completion_rate = return_times.CompletionRate()
         self.return_times = return_times.ReturnTimes()
@@ -329,7 +340,8 @@
             job.outcome.set_exception(
                 errors.refusal(
                     errors.Code.overload,
-                    f'no room in time: {usable} agents usable, '
+                    f'no room in time for {len(job.tasks)} tasks: '
+                    f'{usable} agents usable, '
                     f'{len(self.placer.pending_jobs)} jobs waiting',
                     retry_after=self._return_time(job),
                 ),
--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import math
+import typing
 
 from poplardrum import ids, log_events
 from poplardrum.dispatch import (
@@ -11,6 +12,7 @@
     crash_suspects,
     fleet,
     jobs,
+    look_ahead,
     messages,
     placement,
     room_index,
@@ -33,6 +35,8 @@
         far_factor: float,
         process_continuity: continuity.Continuity,
         suspects: crash_suspects.CrashSuspects,
+        *,
+        looks_ahead: bool = False,
     ) -> None:
         """Place tasks on the agents of an index.
 
@@ -45,6 +49,8 @@
         self.next_suspect_at = 0.0
         self.wakes_at = 0.0
         self.far_factor = far_factor
+        # Where room runs short.
+        self.look_ahead = look_ahead.LookAhead(index) if looks_ahead else None
         # Jobs that may have tasks to place.
         self.pending_jobs: dict[ids.JobId, jobs.Job] = {}
         self.is_scheduled = False
@@ -56,6 +62,8 @@
     def remove(self, job: jobs.Job) -> None:
         """Place no more tasks of a job."""
         self.pending_jobs.pop(job.id, None)
+        if self.look_ahead is not None:
+            self.look_ahead.forget(job)
 
     def schedule(self) -> None:
         """Place waiting tasks in the next iteration of the event loop."""
@@ -79,18 +87,13 @@
             if not job.outcome.done() and job.ready_tasks()
         ]
         self.pending_jobs = {job.id: job for job in waiting}
-        allowed = [
-            job
-            for job in waiting
-            if job.min_cpu() <= self.index.max_free_cpu(job.service)
-            and (job.owner is None or job.owner.may_start(job))
-        ]
+        allowed = self._allowed(waiting)
         if not allowed:
             return
         now = asyncio.get_running_loop().time()
         min_slowness = self.index.min_slowness()
         allowed.sort(key=lambda job: job.placement_priority(now, min_slowness))
-        for job in allowed:
+        for job in self._in_turn(allowed, now):
             # A job that waits for a fast endpoint does not block the others.
             if self._place_job(job):
                 self.pending_jobs.pop(job.id)
@@ -177,12 +180,43 @@
     ) -> bool:
         now = asyncio.get_running_loop().time()
         request = placement.request_for(job, step, tasks, self.far_factor, now)
-        placements = placement.choose_agents(self.index, request)
+        placements = self._choose_agents(job, request, now)
         for agent, count in placements:
             self._start_tasks(job, agent, tasks[:count])
             tasks = tasks[count:]
         return not tasks
 
+    def _allowed(self, waiting: list[jobs.Job]) -> list[jobs.Job]:
+        """Return the jobs that may have agents, none if nothing has room.
+
+        To look ahead, those have a turn as well that need more room than there
+        is now at one agent: others may take what they wait for.
+        """
+        fitting = [
+            job
+            for job in waiting
+            if job.min_cpu() <= self.index.max_free_cpu(job.service)
+        ]
+        return [
+            job
+            for job in (waiting if self.look_ahead and fitting else fitting)
+            if job.owner is None or job.owner.may_start(job)
+        ]
+
+    def _in_turn(
+        self, allowed: list[jobs.Job], now: float
+    ) -> typing.Iterable[jobs.Job]:
+        if self.look_ahead is None:
+            return allowed
+        return self.look_ahead.take_turns(allowed, now)
+
+    def _choose_agents(
+        self, job: jobs.Job, request: placement.PlacementRequest, now: float
+    ) -> list[placement.Placement]:
+        if self.look_ahead is None:
+            return placement.choose_agents(self.index, request)
+        return self.look_ahead.choose_agents(job, request, now)
+
     def _start_tasks(
         self,
         job: jobs.Job,
