--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -35,12 +35,21 @@
 class Coordinator:
     """Place the tasks of all jobs that this entry has accepted."""
 
-    def __init__(self, zone: str, far_factor: float = 1) -> None:
+    def __init__(
+        self,
+        zone: str,
+        far_factor: float = 1,
+        *,
+        has_short_room: bool = False,
+    ) -> None:
         """Create a coordinator without agents and jobs.
 
         Tasks take `far_factor` times as long outside the rack of their data.
+        Where the deployment `has_short_room` at times, endpoints that are too
+        slow for a job are left to others as long as the job can be in time.
         """
         self.zone = zone
+        self.has_short_room = has_short_room
         self.agents: dict[ids.Incarnation, fleet.Agent] = {}
         self.index = room_index.RoomIndex(zone)
         self.incarnations: dict[str, set[ids.Incarnation]] = {}
@@ -72,6 +81,9 @@
         self.placer.add(job)
         loop = asyncio.get_running_loop()
         if job.owner is None:
+            if self.has_short_room:
+                job.any_speed_at = job.last_in_time(self.index.min_slowness())
+                loop.call_at(job.any_speed_at, self.placer.schedule)
             loop.call_at(job.last_resort_at, self.placer.schedule)
             loop.call_at(job.refuse_at, self._refuse_unstarted, job)
             loop.call_at(job.deadline, self._time_out, job)
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -94,7 +94,9 @@
         kv_store = kv.KvStore(config.store, membership.STORE_TIMEOUT_S)
         stack.push_async_callback(kv_store.close)
         job_coordinator = coordinator.Coordinator(
-            config.zone, config.far_factor
+            config.zone,
+            config.far_factor,
+            has_short_room=config.has_short_room,
         )
         announcement = membership.Announcement(
             kv_store,
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import enum
+import math
 import typing
 
 from poplardrum import ids
@@ -131,7 +132,8 @@
     `estimate` the one that the caller declared; both are in seconds. A job of
     which no task has started is refused at `refuse_at`; a job that is not over
     at its `deadline` gets an error. A stored job has an `owner` and neither of
-    these limits.
+    these limits. Its tasks accept endpoints that are too slow from
+    `any_speed_at` on at the earliest.
     """
 
     id: ids.JobId
@@ -155,12 +157,21 @@
     started: bool = False
     started_at: float = 0.0
     last_placed_at: float = 0.0
+    any_speed_at: float = -math.inf
 
     @property
     def last_resort_at(self) -> float:
         """Return the time from which it accepts endpoints that are too slow."""
         return self.refuse_at - _LAST_RESORT_S
 
+    def accepts_any_speed(self, now: float) -> bool:
+        """Return whether its tasks may start at endpoints that are too slow."""
+        if not self.has_prediction:
+            return True
+        return now >= self.any_speed_at and (
+            self.started or now >= self.last_resort_at
+        )
+
     def max_slowness(self, now: float) -> float:
         """Return the slowness up to which it meets its target latency.
 
@@ -173,6 +184,19 @@
             self.remaining_duration() * _LONGEST_TASK_FACTOR, _MIN_DURATION_S
         )
 
+    def last_in_time(self, slowness: float) -> float:
+        """Return until when `max_slowness` is at least a slowness."""
+        return (
+            self.arrived_at
+            + self.target_latency
+            - _OVERHEAD_S
+            - slowness
+            * max(
+                self.remaining_duration() * _LONGEST_TASK_FACTOR,
+                _MIN_DURATION_S,
+            )
+        )
+
     def latest_start(self, slowness: float) -> float:
         """Return the latest start that meets the target latency."""
         return (
--- a/src/poplardrum/dispatch/placement.py
+++ b/src/poplardrum/dispatch/placement.py
@@ -57,7 +57,7 @@
         far_factor,
         avoided,
         job.max_slowness(now),
-        not job.has_prediction or job.started or now >= job.last_resort_at,
+        job.accepts_any_speed(now),
         step.spread_limit,
         job.count_by_node(step) if step.spread_limit else {},
     )
--- a/src/poplardrum/platform/settings_file.py
+++ b/src/poplardrum/platform/settings_file.py
@@ -97,6 +97,11 @@
     memory_mb: int = 0
     descriptors: int = 0
 
+    @property
+    def has_short_room(self) -> bool:
+        """Return whether zones may be emptied, so that room may run short."""
+        return self.evacuation_bound is not None
+
 
 def load(path: pathlib.Path) -> ProcessSettings:
     """Read the settings; raise `settings` with the file and the field."""
