--- a/bench/policy_short_room.py
+++ b/bench/policy_short_room.py
@@ -322,9 +322,7 @@
     Scenario('two_thirds_away', zones_away=2, ratio=0.6),
     Scenario('burst_long', ratio=0.6, burst='long', burst_factor=2.4),
     Scenario('burst_long_heavy', ratio=0.9, burst='long', burst_factor=2.4),
-    Scenario(
-        'burst_short', ratio=0.9, burst='narrow-short', burst_factor=2.4
-    ),
+    Scenario('burst_short', ratio=0.9, burst='narrow-short', burst_factor=2.4),
 )
 
 
@@ -406,7 +404,9 @@
         in_time = results['in_time'] / len(mine)
         large = sum(job.result == 'in_time' for job in widest) / len(widest)
         ratios.append(in_time)
-        refused = [job.answered_after for job in mine if job.result == 'refused']
+        refused = [
+            job.answered_after for job in mine if job.result == 'refused'
+        ]
         wait = sum(refused) / len(refused) if refused else 0
         label = f'short_room.{name}.{queue.name}'
         print(f'{label}.in_time {in_time:.3f} ratio')
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -15,6 +15,7 @@
     jobs,
     messages,
     moves,
+    queue_order,
     return_times,
     room_index,
     timing,
@@ -60,7 +61,13 @@
             self.jobs, self.suspects
         )
         self.placer = job_placer.JobPlacer(
-            self.index, far_factor, self.continuity, self.suspects
+            self.index,
+            far_factor,
+            self.continuity,
+            self.suspects,
+            queue_order.ShortRoomOrder()
+            if has_short_room
+            else queue_order.LatestStartOrder(),
         )
         self.completion_rate = return_times.CompletionRate()
         self.return_times = return_times.ReturnTimes()
@@ -80,6 +87,7 @@
         self.crash_handler.give_up_if_guilty(job)
         self.placer.add(job)
         loop = asyncio.get_running_loop()
+        self.placer.order.record_arrival(job, loop.time())
         if job.owner is None:
             if self.has_short_room:
                 job.any_speed_at = job.last_in_time(self.index.min_slowness())
--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -13,6 +13,7 @@
     jobs,
     messages,
     placement,
+    queue_order,
     room_index,
     timing,
 )
@@ -33,12 +34,14 @@
         far_factor: float,
         process_continuity: continuity.Continuity,
         suspects: crash_suspects.CrashSuspects,
+        order: queue_order.JobOrder,
     ) -> None:
         """Place tasks on the agents of an index.
 
         Tasks take `far_factor` times as long outside the rack of their data.
         """
         self.index = index
+        self.order = order
         self.continuity = process_continuity
         self.suspects = suspects
         # Until then no other suspected task starts.
@@ -89,7 +92,7 @@
             return
         now = asyncio.get_running_loop().time()
         min_slowness = self.index.min_slowness()
-        allowed.sort(key=lambda job: job.placement_priority(now, min_slowness))
+        self.order.sort(allowed, now, min_slowness)
         for job in allowed:
             # A job that waits for a fast endpoint does not block the others.
             if self._place_job(job):
@@ -193,6 +196,8 @@
         if agent.link is None:
             return
         now = asyncio.get_running_loop().time()
+        cores = tasks[0].step.need.cores() * len(tasks)
+        self.order.record_start(job, cores, now)
         for task in tasks:
             task.place(job.id, agent, now)
         if not job.started:
