--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -18,6 +18,9 @@
 _MILLICORES: typing.Final = 1000
 # A job accepts endpoints of any speed this long before it is refused.
 _LAST_RESORT_S: typing.Final = 0.02
+# Where slow endpoints are left to others, a job that would be refused accepts
+# endpoints that are too slow by this factor: predictions err about as much.
+_LAST_RESORT_FACTOR: typing.Final = 1.25
 
 
 class Phase(enum.Enum):
@@ -172,6 +175,17 @@
             self.started or now >= self.last_resort_at
         )
 
+    def accepted_slowness(self, now: float) -> float:
+        """Return the slowness up to which its tasks may start.
+
+        It is `max_slowness`, and more for a job that would be refused
+        otherwise: its prediction may be too high.
+        """
+        limit = self.max_slowness(now)
+        if not self.started and self.last_resort_at <= now < self.any_speed_at:
+            return limit * _LAST_RESORT_FACTOR
+        return limit
+
     def max_slowness(self, now: float) -> float:
         """Return the slowness up to which it meets its target latency.
 
--- a/src/poplardrum/dispatch/placement.py
+++ b/src/poplardrum/dispatch/placement.py
@@ -56,7 +56,7 @@
         step.rack,
         far_factor,
         avoided,
-        job.max_slowness(now),
+        job.accepted_slowness(now),
         job.accepts_any_speed(now),
         step.spread_limit,
         job.count_by_node(step) if step.spread_limit else {},
