--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -346,6 +346,8 @@
     def _refuse_unstarted(self, job: jobs.Job) -> None:
         if not job.started and not job.outcome.done():
             usable = self.index.usable_count()
+            now = asyncio.get_running_loop().time()
+            self.placer.order.record_refusal(job, now)
             job.outcome.set_exception(
                 errors.refusal(
                     errors.Code.overload,
--- a/src/poplardrum/dispatch/queue_order.py
+++ b/src/poplardrum/dispatch/queue_order.py
@@ -3,7 +3,7 @@
 import math
 import typing
 
-from poplardrum.dispatch import jobs, shares
+from poplardrum.dispatch import jobs, shares, shortage_log
 
 # Latest starts that differ by less count as equal.
 _EQUAL_STARTS_S: typing.Final = 0.01
@@ -24,6 +24,9 @@
     def record_start(self, job: jobs.Job, cores: float, now: float) -> None:
         """Record that tasks of a job are sent that need `cores` together."""
 
+    def record_refusal(self, job: jobs.Job, now: float) -> None:
+        """Record that a job is refused for want of room."""
+
     def sort(
         self, waiting: list[jobs.Job], now: float, min_slowness: float
     ) -> None:
@@ -39,6 +42,9 @@
     def record_start(self, job: jobs.Job, cores: float, now: float) -> None:
         """Do nothing: the order has no memory."""
 
+    def record_refusal(self, job: jobs.Job, now: float) -> None:
+        """Do nothing: the order has no memory."""
+
     def sort(
         self, waiting: list[jobs.Job], now: float, min_slowness: float
     ) -> None:
@@ -59,6 +65,7 @@
     def __init__(self) -> None:
         """Start without a memory of jobs."""
         self.shares = shares.QueueShares()
+        self.log = shortage_log.ShortageLog()
         # Cores of the tasks that were sent, with less weight by age.
         self.recent_cores = 0.0
         self.updated_at = 0.0
@@ -76,6 +83,10 @@
         if not job.started:
             self.shares.record_start(job.queue, job.remaining_work(), now)
 
+    def record_refusal(self, job: jobs.Job, now: float) -> None:
+        """Log the refusal together with others."""
+        self.log.record(job, self.shares, now)
+
     def gathering_time(self, job: jobs.Job) -> float:
         """Return how long the job's waiting tasks take to find room."""
         rate = self.recent_cores / _RATE_MEMORY_S
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -134,6 +134,9 @@
         except asyncio.CancelledError:
             self._record_disconnect(job)
             raise
+        except errors.PoplardrumError as error:
+            self._record_unserved(job, error)
+            raise
         finally:
             self.coordinator.finish(job)
         is_single_step = len(job.steps) == 1
@@ -167,6 +170,15 @@
         )
         responses.log_job(job, outcome.value, now)
 
+    def _record_unserved(
+        self, job: jobs.Job, error: errors.PoplardrumError
+    ) -> None:
+        waited = asyncio.get_running_loop().time() - job.arrived_at
+        self.metrics.increment(
+            'unserved', f'{job.queue} {job.urgency} {error.code.value}'
+        )
+        self.metrics.observe('unserved_seconds', job.queue, waited)
+
     def _record_disconnect(self, job: jobs.Job) -> None:
         """Record that the caller has gone; the runs of its job are stopped."""
         self.metrics.increment('replies', 'caller_gone')
