--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -41,13 +41,17 @@
         far_factor: float = 1,
         *,
         looks_ahead: bool = False,
+        has_short_room: bool = False,
     ) -> None:
         """Create a coordinator without agents and jobs.
 
         Tasks take `far_factor` times as long outside the rack of their data.
         With `looks_ahead`, placement considers what runs will end soon.
+        Where the deployment `has_short_room` at times, endpoints that are too
+        slow for a job are left to others as long as the job can be in time.
         """
         self.zone = zone
+        self.has_short_room = has_short_room
         self.agents: dict[ids.Incarnation, fleet.Agent] = {}
         self.index = room_index.RoomIndex(zone)
         self.incarnations: dict[str, set[ids.Incarnation]] = {}
@@ -62,6 +66,7 @@
             far_factor,
             self.continuity,
             self.suspects,
+            has_short_room=has_short_room,
             looks_ahead=looks_ahead,
         )
         self.completion_rate = return_times.CompletionRate()
@@ -82,7 +87,11 @@
         self.crash_handler.give_up_if_guilty(job)
         self.placer.add(job)
         loop = asyncio.get_running_loop()
+        self.placer.order.record_arrival(job, loop.time())
         if job.owner is None:
+            if self.has_short_room:
+                job.any_speed_at = job.last_in_time(self.index.min_slowness())
+                loop.call_at(job.any_speed_at, self.placer.schedule)
             loop.call_at(job.last_resort_at, self.placer.schedule)
             loop.call_at(job.refuse_at, self._refuse_unstarted, job)
             loop.call_at(job.deadline, self._time_out, job)
@@ -337,6 +346,8 @@
     def _refuse_unstarted(self, job: jobs.Job) -> None:
         if not job.started and not job.outcome.done():
             usable = self.index.usable_count()
+            now = asyncio.get_running_loop().time()
+            self.placer.order.record_refusal(job, now)
             job.outcome.set_exception(
                 errors.refusal(
                     errors.Code.overload,
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -96,6 +96,7 @@
             config.zone,
             config.far_factor,
             looks_ahead=config.has_short_room,
+            has_short_room=config.has_short_room,
         )
         announcement = membership.Announcement(
             kv_store,
--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -15,6 +15,7 @@
     look_ahead,
     messages,
     placement,
+    queue_order,
     room_index,
     timing,
 )
@@ -36,6 +37,7 @@
         process_continuity: continuity.Continuity,
         suspects: crash_suspects.CrashSuspects,
         *,
+        has_short_room: bool = False,
         looks_ahead: bool = False,
     ) -> None:
         """Place tasks on the agents of an index.
@@ -43,6 +45,7 @@
         Tasks take `far_factor` times as long outside the rack of their data.
         """
         self.index = index
+        self.order = queue_order.choose(has_short_room=has_short_room)
         self.continuity = process_continuity
         self.suspects = suspects
         # Until then no other suspected task starts.
@@ -92,7 +95,7 @@
             return
         now = asyncio.get_running_loop().time()
         min_slowness = self.index.min_slowness()
-        allowed.sort(key=lambda job: job.placement_priority(now, min_slowness))
+        self.order.sort(allowed, now, min_slowness)
         for job in self._in_turn(allowed, now):
             # A job that waits for a fast endpoint does not block the others.
             if self._place_job(job):
@@ -227,6 +230,8 @@
         if agent.link is None:
             return
         now = asyncio.get_running_loop().time()
+        cores = tasks[0].step.need.cores() * len(tasks)
+        self.order.record_start(job, cores, now)
         for task in tasks:
             task.place(job.id, agent, now)
         if not job.started:
--- a/src/poplardrum/platform/settings_file.py
+++ b/src/poplardrum/platform/settings_file.py
@@ -101,7 +101,8 @@
     def has_short_room(self) -> bool:
         """Return whether room may run short while the hosts are well.
 
-        It does where whole zones are evacuated. Placement then looks ahead.
+        It does where whole zones are evacuated. Placement then
+        looks ahead, and waiting jobs go in another order.
         """
         return self.evacuation_bound is not None
 
