--- a/bench/policy_short_room.py
+++ b/bench/policy_short_room.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections
 import dataclasses
-import functools
 import math
 import random
 import selectors
