--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -15,7 +15,6 @@
     jobs,
     messages,
     moves,
-    queue_order,
     return_times,
     room_index,
     timing,
@@ -65,9 +64,7 @@
             far_factor,
             self.continuity,
             self.suspects,
-            queue_order.ShortRoomOrder()
-            if has_short_room
-            else queue_order.LatestStartOrder(),
+            has_short_room=has_short_room,
         )
         self.completion_rate = return_times.CompletionRate()
         self.return_times = return_times.ReturnTimes()
--- a/src/poplardrum/dispatch/job_placer.py
+++ b/src/poplardrum/dispatch/job_placer.py
@@ -34,14 +34,15 @@
         far_factor: float,
         process_continuity: continuity.Continuity,
         suspects: crash_suspects.CrashSuspects,
-        order: queue_order.JobOrder,
+        *,
+        has_short_room: bool,
     ) -> None:
         """Place tasks on the agents of an index.
 
         Tasks take `far_factor` times as long outside the rack of their data.
         """
         self.index = index
-        self.order = order
+        self.order = queue_order.order_for(has_short_room=has_short_room)
         self.continuity = process_continuity
         self.suspects = suspects
         # Until then no other suspected task starts.
--- a/src/poplardrum/dispatch/queue_order.py
+++ b/src/poplardrum/dispatch/queue_order.py
@@ -103,16 +103,20 @@
 
         def priority(
             job: jobs.Job,
-        ) -> tuple[bool, bool, bool, int, int, float]:
+        ) -> tuple[bool, int, int, int, float]:
             late, unstarted, latest = job.placement_priority(now, min_slowness)
             latest -= self.gathering_time(job)
             return (
                 job.queue not in behind,
-                late,
-                unstarted,
+                2 * late + unstarted,
                 math.floor(latest / _EQUAL_STARTS_S),
                 job.urgency,
                 latest,
             )
 
         waiting.sort(key=priority)
+
+
+def order_for(*, has_short_room: bool) -> JobOrder:
+    """Return the order for a deployment."""
+    return ShortRoomOrder() if has_short_room else LatestStartOrder()
