Hold what clients send within one budget of memory a process

What the operators saw: clients with large bodies of legal size, most of them stopping short of their end, made a process outgrow its memory.

Cause: nothing bounded the sum of what connections hold: buffers of requests that are incomplete, the cached body of a request while its job waits, the tasks of waiting jobs, header fields, discarded bodies at the readiness and metrics ports, frames of strangers at the port for peers, connections. A body with thousands of empty steps took quadratic time to check.

Ruled out: a limit for each connection, streaming, back-pressure; see docs/design/bodies-within-a-budget.md.

Change: bytes are charged to one budget as they arrive, declared lengths before the body is read, an estimate of the job's decoded form until its response. Over it: 503 before the body is read (not_run), or who has made least progress is closed. Connections stay below the descriptors; each state of a connection has a time. Counted by cause, logged once a second.

--- a/src/poplardrum/dispatch/agent_process.py
+++ b/src/poplardrum/dispatch/agent_process.py
@@ -12,6 +12,7 @@
 from poplardrum import errors, log_events
 from poplardrum.dispatch import (
     agent,
+    body_reading,
     clocks,
     executor,
     lifecycle,
@@ -46,7 +47,7 @@
             return web_response.Response(
                 body=b'{}', content_type='application/json'
             )
-        heartbeat = endpoints.decode_heartbeat(await request.read())
+        heartbeat = endpoints.decode_heartbeat(await body_reading.read(request))
         if heartbeat is None:
             logger.warning('unreadable heartbeat')
             return web_response.Response(status=400)
@@ -129,6 +130,9 @@
         task_executor.metrics.gauges = functools.partial(
             polling.gauges, task_executor
         )
+        guard = lifecycle.guard_process(
+            config, task_executor.metrics, is_entry=False
+        )
         agent_links = agent.Agent(config, task_executor)
         stack.callback(agent_links.close)
         await lifecycle.serve_http(
@@ -136,9 +140,14 @@
             registry_handler(task_executor),
             config.registry,
             settings.listeners,
+            guard.at('heartbeats'),
         )
         await lifecycle.serve_metrics(
-            stack, task_executor.metrics, config.peers[0], settings.listeners
+            stack,
+            task_executor.metrics,
+            config.peers[0],
+            settings.listeners,
+            guard,
         )
         background_loops: list[tuple[str, lifecycle.BackgroundLoop]] = [
             ('endpoint reports', polling.EndpointPoller(task_executor).run),
@@ -146,6 +155,7 @@
             ('completions', agent_links.resend_completions),
             ('keep-alive', agent_links.keep_alive.run),
             ('entry links', agent_links.entry_links.run),
+            ('client limits', guard.run),
             (
                 'settings',
                 functools.partial(settings.watch, lifecycle.reload_event()),
--- a/src/poplardrum/dispatch/connections.py
+++ b/src/poplardrum/dispatch/connections.py
@@ -14,6 +14,8 @@
 
 _LENGTH_BYTES: typing.Final = 4
 MAX_FRAME_BYTES: typing.Final = 4 * 1024 * 1024
+# The first frame of a peer, which may be a stranger.
+_MAX_HELLO_FRAME_BYTES: typing.Final = 64 * 1024
 _READ_BYTES: typing.Final = 64 * 1024
 
 HelloMessage = typing.TypeVar(
@@ -24,6 +26,17 @@
 _decoder = msgspec.msgpack.Decoder(list[messages.AnyMessage])
 
 
+class Unread(bytearray):
+    """Bytes that were read and not decoded yet, and their limits.
+
+    `max_frame` is the longest frame. `may_hold` returns whether this many bytes
+    may be held.
+    """
+
+    max_frame = MAX_FRAME_BYTES
+    may_hold: typing.Callable[[int], bool] | None = None
+
+
 class Link:
     """A connection to a peer.
 
@@ -39,8 +52,7 @@
         self.reader = reader
         self.writer = writer
         self.pending: list[messages.Message] = []
-        # Bytes that were read and not decoded yet.
-        self.unread = bytearray()
+        self.unread = Unread()
         self.starts_received = 0
         self.zone = ''
         # The last load that was sent, and when.
@@ -142,6 +154,9 @@
     async def _read_messages(self) -> list[messages.AnyMessage]:
         while True:
             received = self._take_messages()
+            may_hold = self.unread.may_hold
+            if may_hold is not None and not may_hold(len(self.unread)):
+                raise EOFError('no memory for its frames')
             if received is not None:
                 return received
             chunk = await self.reader.read(_READ_BYTES)
@@ -165,7 +180,9 @@
         except ValueError:
             if received is None:
                 raise
-        self.unread = self.unread[start:]
+        if start:
+            # Without a slice, which would copy what is left.
+            self.unread[:start] = b''
         return received
 
     def _frame_at(self, start: int) -> bytes | None:
@@ -174,7 +191,7 @@
         if len(self.unread) < body_start:
             return None
         length = int.from_bytes(self.unread[start:body_start], 'big')
-        if length > MAX_FRAME_BYTES:
+        if length > self.unread.max_frame:
             raise ValueError(f'frame of {length} bytes')
         if len(self.unread) < body_start + length:
             return None
@@ -208,7 +225,9 @@
         Raise `link_lost` as `receive` does, or if the first message is of
         another kind.
         """
+        self.unread.max_frame = _MAX_HELLO_FRAME_BYTES
         received = await self.receive(timeout_s)
+        self.unread.max_frame = MAX_FRAME_BYTES
         if not received or not isinstance(received[0], kind):
             raise _link_lost('first message is not a hello')
         # Nothing that a delay could make harmful precedes what follows it.
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -83,7 +83,6 @@
 async def run(settings: reloading.Settings) -> None:
     """Run an entry until SIGTERM or SIGINT."""
     config = settings.config
-    listening = settings.listeners
     if config.callers is None or config.readiness is None:
         raise errors.refusal(
             errors.Code.settings,
@@ -111,12 +110,13 @@
         handler = request_handler.RequestHandler(
             settings, route_table, job_coordinator, services.stored_jobs
         )
+        guard = lifecycle.guard_process(config, handler.metrics, is_entry=True)
         agent_links = links.AgentLinks(
-            config.node, announcement.member.incarnation, job_coordinator
+            config.node, announcement.member.incarnation, job_coordinator, guard
         )
         stack.callback(agent_links.close)
         await lifecycle.serve_connections(
-            stack, agent_links.serve, config.peers, listening
+            stack, agent_links.serve, config.peers, settings.listeners
         )
         background_loops: list[tuple[str, lifecycle.BackgroundLoop]] = [
             ('configuration', functools.partial(route_table.watch, kv_store)),
@@ -137,6 +137,7 @@
             ),
             ('keep-alive', agent_links.keep_alive.run),
             ('run audit', agent_links.run_audit.run),
+            ('client limits', guard.run),
             (
                 'learned durations',
                 prediction_sharing.PredictionSharing(
@@ -153,13 +154,21 @@
         ]
         lifecycle.supervise_all(stack, background_loops)
         await lifecycle.serve_http(
-            stack, handler.handle_readiness, config.readiness, listening
+            stack,
+            handler.handle_readiness,
+            config.readiness,
+            settings.listeners,
+            guard.at('readiness'),
         )
         await lifecycle.serve_metrics(
-            stack, handler.metrics, config.peers[0], listening
+            stack, handler.metrics, config.peers[0], settings.listeners, guard
         )
         await lifecycle.serve_http(
-            stack, handler.handle_request, config.callers, listening
+            stack,
+            handler.handle_request,
+            config.callers,
+            settings.listeners,
+            guard.at('callers'),
         )
         await stopping.wait()
         logger.info('stopping')
--- a/src/poplardrum/dispatch/lifecycle.py
+++ b/src/poplardrum/dispatch/lifecycle.py
@@ -7,11 +7,14 @@
 import signal
 import typing
 
-from aiohttp import web_request, web_response, web_server
-
 from poplardrum import ini
-from poplardrum.dispatch import clocks, metrics
-from poplardrum.platform import listeners
+from poplardrum.dispatch import (
+    clocks,
+    guarded_http,
+    metrics,
+    process_guard,
+)
+from poplardrum.platform import listeners, settings_file
 
 logger = logging.getLogger(__name__)
 
@@ -23,10 +26,6 @@
 # Time for requests that arrive while a server closes.
 SHUTDOWN_TIMEOUT_S: typing.Final = 0.9
 
-HttpHandler = typing.Callable[
-    [web_request.BaseRequest], typing.Awaitable[web_response.Response]
-]
-
 
 def stop_event() -> asyncio.Event:
     """Return an event that is set by SIGTERM and SIGINT."""
@@ -107,6 +106,21 @@
 ]
 
 
+def guard_process(
+    config: settings_file.ProcessSettings,
+    process_metrics: metrics.Metrics,
+    *,
+    is_entry: bool,
+) -> process_guard.ProcessGuard:
+    """Return the guard of a process with these settings."""
+    return process_guard.for_process(
+        process_metrics,
+        config.memory_mb,
+        config.descriptors,
+        is_entry=is_entry,
+    )
+
+
 async def serve_connections(
     stack: contextlib.AsyncExitStack,
     handler: ConnectionHandler,
@@ -124,21 +138,21 @@
 
 async def serve_http(
     stack: contextlib.AsyncExitStack,
-    handler: HttpHandler,
+    handler: guarded_http.Handler,
     address: ini.Address,
     listening: listeners.Listeners,
+    guard: process_guard.ListenerGuard | None = None,
 ) -> None:
-    """Serve HTTP at an address until the stack closes.
+    """Serve HTTP at an address until the stack closes, within limits.
+
+    Without a guard the limits are those of a process of unknown size.
 
     The low-level server is used without the runners of `aiohttp.web`: importing
     those costs each start a fifteenth of its CPU time.
     """
-    server = web_server.Server(
-        handler,
-        handler_cancellation=True,
-        access_log=None,
-        tcp_keepalive=False,
-    )
+    if guard is None:
+        guard = process_guard.for_process(metrics.Metrics()).at('callers')
+    server = guarded_http.GuardedServer(guard, handler)
     loop = asyncio.get_running_loop()
     listener = listening.get(address)
     if listener is not None:
@@ -157,13 +171,20 @@
     served: metrics.Metrics,
     host: str,
     listening: listeners.Listeners,
+    guard: process_guard.ProcessGuard,
 ) -> None:
     """Serve the metrics of a process on a host until the stack closes."""
-    await serve_http(stack, served.serve, (host, metrics.PORT), listening)
+    await serve_http(
+        stack,
+        served.serve,
+        (host, metrics.PORT),
+        listening,
+        guard.at('metrics'),
+    )
 
 
 async def _stop_serving(
-    server: web_server.Server, accepting: asyncio.AbstractServer
+    server: guarded_http.GuardedServer, accepting: asyncio.AbstractServer
 ) -> None:
     """Accept no connections, close idle ones and wait for open requests."""
     accepting.close()
--- a/src/poplardrum/dispatch/links.py
+++ b/src/poplardrum/dispatch/links.py
@@ -10,6 +10,9 @@
     fleet,
     keepalive,
     messages,
+    metrics,
+    peer_guard,
+    process_guard,
     run_audit,
     timing,
 )
@@ -25,8 +28,11 @@
         node: str,
         incarnation: ids.Incarnation,
         job_coordinator: coordinator.Coordinator,
+        guard: process_guard.ProcessGuard | None = None,
     ) -> None:
-        """Start without connections."""
+        """Start without connections; without a guard, with one of its own."""
+        guard = guard or process_guard.for_process(metrics.Metrics())
+        self.guard = peer_guard.PeerGuard(guard.at('peers'))
         self.node = node
         self.incarnation = incarnation
         self.coordinator = job_coordinator
@@ -48,14 +54,17 @@
                 self.node, self.coordinator.zone, self.incarnation
             )
         )
-        with self.keep_alive.watch(link):
+        with self.keep_alive.watch(link), self.guard.watch(link) as connection:
             try:
-                await self._receive_messages(link)
+                await self._receive_messages(link, connection)
             except errors.PoplardrumError as error:
                 log_events.emit(logger, 'agent link lost', why=error.message)
 
-    async def _receive_messages(self, link: connections.Link) -> None:
+    async def _receive_messages(
+        self, link: connections.Link, connection: peer_guard.PeerConnection
+    ) -> None:
         peer = await self._handshake(link)
+        connection.identify()
         try:
             while not link.closed:
                 for message in await link.receive():
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -116,7 +116,9 @@
                 errors.Code.unsupported,
                 'queues with advice are not served',
             )
-        submission = job_api.decode_submission(await request.read())
+        submission = await submissions.receive(
+            request, _DEFAULT_CLIENT_TIMEOUT_S
+        )
         if not submission.best_effort:
             return await self._submit_stored(request, route, job_id, submission)
         return await self._run_job(
--- a/src/poplardrum/dispatch/submissions.py
+++ b/src/poplardrum/dispatch/submissions.py
@@ -2,11 +2,33 @@
 
 import typing
 
+from aiohttp import web_request
+
 from poplardrum import ids
-from poplardrum.dispatch import jobs, messages, records
+from poplardrum.dispatch import body_reading, jobs, messages, records
 from poplardrum.platform import job_api
 
 _MS_PER_S: typing.Final = 1000
+# What a job, a step and a task take up here, rounded up.
+_JOB_BYTES: typing.Final = 4096
+_STEP_BYTES: typing.Final = 1024
+_TASK_BYTES: typing.Final = 1024
+# Of one predecessor of a step, in the submission and in the job.
+_PREDECESSOR_BYTES: typing.Final = 16
+
+
+async def receive(
+    request: web_request.BaseRequest, default_timeout_s: float
+) -> job_api.Submission:
+    """Read and decode a job; its decoded form is charged until its end."""
+    client_timeout = job_api.read_client_timeout(
+        request.headers, default_timeout_s
+    )
+    submission = job_api.decode_submission(
+        await body_reading.read(request, client_timeout)
+    )
+    body_reading.hold_job(request, estimate_bytes(submission))
+    return submission
 
 
 def make_steps(submission: job_api.Submission) -> list[jobs.Step]:
@@ -33,6 +55,19 @@
     return steps
 
 
+def estimate_bytes(submission: job_api.Submission) -> int:
+    """Return the memory that a job takes up from its submission to its end."""
+    tasks = sum(step.count for step in submission.steps)
+    predecessors = sum(len(step.predecessors) for step in submission.steps)
+    return (
+        _JOB_BYTES
+        + len(submission.specification)
+        + len(submission.steps) * _STEP_BYTES
+        + tasks * _TASK_BYTES
+        + predecessors * _PREDECESSOR_BYTES
+    )
+
+
 def make_record(
     submission: job_api.Submission,
     route: job_api.Route,
--- a/src/poplardrum/platform/job_api.py
+++ b/src/poplardrum/platform/job_api.py
@@ -17,6 +17,10 @@
 _MAX_CLIENT_TIMEOUT_S: typing.Final = 86400.0
 _MAX_SPECIFICATION_BYTES: typing.Final = 4000
 _MAX_TASKS_PER_JOB: typing.Final = 1024
+# Each step has this key, and few texts of one may read the same. Bodies with far too
+# many steps are refused before the time to decode them is spent.
+_STEP_MARK: typing.Final = b'"Count"'
+_MAX_STEP_MARKS: typing.Final = 4 * _MAX_TASKS_PER_JOB
 
 ACCEPTED_BODY: typing.Final = b'{}'
 COMPLETED_BODY: typing.Final = b'{"State":"completed"}'
@@ -110,6 +114,8 @@
     beyond the limits, and `unsupported` for features of jobs that are not
     implemented.
     """
+    if body.count(_STEP_MARK) > _MAX_STEP_MARKS:
+        raise errors.refusal(errors.Code.too_many_tasks, 'too many steps')
     try:
         submission = decoding.decode_json(body, Submission)
     except ValueError as error:
@@ -121,10 +127,14 @@
 def _check_submission(submission: Submission) -> None:
     if len(submission.specification.encode()) > _MAX_SPECIFICATION_BYTES:
         raise errors.refusal(errors.Code.too_large, 'Specification too long')
-    if not submission.steps or sum(step.count for step in submission.steps) < 1:
+    tasks = sum(step.count for step in submission.steps)
+    if tasks < 1:
         raise errors.refusal(errors.Code.bad_request, 'job without tasks')
-    if sum(step.count for step in submission.steps) > _MAX_TASKS_PER_JOB:
-        raise errors.refusal(errors.Code.too_many_tasks, 'too many tasks')
+    # Steps without tasks cost time and memory as well.
+    if max(tasks, len(submission.steps)) > _MAX_TASKS_PER_JOB:
+        raise errors.refusal(
+            errors.Code.too_many_tasks, 'too many tasks or steps'
+        )
     for index, step in enumerate(submission.steps):
         _check_step(index, step)
     for requested, name in (
@@ -145,7 +155,9 @@
 
 def _check_step(index: int, step: Step) -> None:
     # A step may depend on earlier steps only, which rules out cycles.
-    if not set(step.predecessors) <= set(range(index)):
+    if step.predecessors and not (
+        0 <= min(step.predecessors) and max(step.predecessors) < index
+    ):
         raise errors.refusal(
             errors.Code.bad_request,
             f'Steps[{index}]: After out of range',
--- a/src/poplardrum/platform/listeners.py
+++ b/src/poplardrum/platform/listeners.py
@@ -14,6 +14,9 @@
 SETTINGS_VARIABLE: typing.Final = 'POPLARDRUM_SETTINGS'
 DEFAULT_SETTINGS_PATH: typing.Final = '/etc/poplardrum/settings.json'
 _BACKLOG_CONNECTIONS: typing.Final = 1024
+# Bytes of each connection that the kernel receives ahead of this process. They
+# count toward the memory of the process, and nothing else limits their sum.
+_RECEIVE_BUFFER_BYTES: typing.Final = 32 * 1024
 
 Address = tuple[str, int]
 Listeners = dict[Address, socket.socket]
@@ -58,6 +61,11 @@
 
 def _listen(address: Address) -> socket.socket:
     listener = socket.socket()
+    # Accepted connections inherit it. Not all systems have it.
+    with contextlib.suppress(OSError):
+        listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+        )
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setblocking(False)
--- a/tests/test_job_api.py
+++ b/tests/test_job_api.py
@@ -39,6 +39,24 @@
             with self.subTest(changes=changes):
                 self.assertIsNone(self.code(**changes))
 
+    def test_steps_without_tasks(self) -> None:
+        """Guards against steps that cost time and memory without a limit."""
+        empty = {'Count': 0}
+        self.assertIsNone(self.code(Steps=[self.step] + [empty] * 1023))
+        for count in (1024, 5000):
+            self.assertIs(
+                self.code(Steps=[self.step] + [empty] * count),
+                errors.Code.too_many_tasks,
+            )
+
+    def test_predecessors(self) -> None:
+        """Guards against steps that wait for themselves or none."""
+        for after in ([1], [-1], [0, 5]):
+            self.assertIs(
+                self.code(Steps=[self.step, self.step | {'After': after}]),
+                errors.Code.bad_request,
+            )
+
     def test_not_served(self) -> None:
         """Guards against features that are ignored instead of refused."""
         for changes in (
--- a/tools/simulation/network.py
+++ b/tools/simulation/network.py
@@ -48,6 +48,9 @@
         """Return whether this end is closed or has been reset."""
         return self.is_closed or self.eof_received
 
+    def get_extra_info(self, _name: str) -> None:
+        """Return `None`: ends have no addresses."""
+
     def get_write_buffer_size(self) -> int:
         """Return 0: the network takes all bytes."""
         return 0
