Make four tests of the limits sensitive to their guards

Seen: with the guard taken out, the tests of a too large body, a body that is not needed and the counts by cause passed; the limit of a peer's first frame had no test.

--- a/tests/test_guarded_http.py
+++ b/tests/test_guarded_http.py
@@ -106,13 +106,17 @@
 
     async def test_too_large(self) -> None:
         """Guards against a body longer than any that is legal."""
-        status = await self.exchange(_HEAD % (b'', 10 * _MB))
-        self.assertIn(b' 503 ', status)
+        await self.exchange(_HEAD % (b'', 10 * _MB))
+        self.assertEqual(self.guard.causes, {process_guard.Cause.too_large: 1})
 
     async def test_body_that_is_not_needed(self) -> None:
         """Guards against a refusal that is lost in a reset connection."""
-        content = _HEAD % (b'none', _LARGE) + b' ' * _LARGE
-        self.assertIn(b' 404 ', await self.exchange(content))
+        reader, writer = await self.connect(b'')
+        for _ in range(2):
+            writer.write(_HEAD % (b'none', _LARGE) + b' ' * _LARGE)
+            async with asyncio.timeout(10):
+                head = await reader.readuntil(b'\r\n\r\n')
+            self.assertIn(b' 404 ', head)
 
     async def test_closed_connections_hold_nothing(self) -> None:
         """Guards against a budget that shrinks with each lost client."""
--- a/tests/test_malformed_input.py
+++ b/tests/test_malformed_input.py
@@ -300,6 +300,14 @@
             await link.receive()
         self.assertIs(caught.exception.code, errors.Code.link_lost)
 
+    async def test_long_first_frame(self) -> None:
+        """Fails if a stranger may send a long frame before its hello."""
+        reader = asyncio.StreamReader()
+        reader.feed_data((100_000).to_bytes(4, 'big') + b'x')
+        link = connections.Link(reader, mock.Mock())
+        with self.assertRaisesRegex(errors.PoplardrumError, 'frame'):
+            await link.receive_hello(messages.AgentHello, 0.1)
+
     async def test_message_that_cannot_be_encoded(self) -> None:
         """Fails if one message blocks all later ones on its link."""
         writer = mock.Mock()
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -140,6 +140,7 @@
             guard.count(process_guard.Cause.memory)
         with self.assertLogs(level='INFO') as logs:
             guard.review(0)
+            guard.review(1)
         self.assertEqual(len(logs.output), 1)
         key = ('clients_turned_away', 'memory')
         self.assertEqual(guard.metrics.counters[key], 3)
