--- a/src/poplardrum/dispatch/connections.py
+++ b/src/poplardrum/dispatch/connections.py
@@ -101,14 +101,18 @@
         self.send(self.confirmation.next_ping(self.pinged_at))
 
     async def confirm(self, timeout_s: float) -> bool:
-        """Return whether the peer is there now; ping it if that is in doubt."""
+        """Return whether the peer is there now; ping it if that is in doubt.
+
+        A reply that takes long still counts: its ping was sent of late.
+        """
+        since = clocks.now() - timing.CONFIRM_AFTER_S
         if self.confirmation.needs_ping() or self._needs_new_ping():
             self.ping()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
-                while not (self.closed or self.is_certain()):
+                while not (self.closed or self._is_certain_since(since)):
                     await self.received.wait()
-        return self.is_certain() and not self.closed
+        return self._is_certain_since(since) and not self.closed
 
     @property
     def confirmed_at(self) -> float:
@@ -117,8 +121,10 @@
 
     def is_certain(self) -> bool:
         """Return whether the peer answered a ping of late, after any doubt."""
-        age = clocks.now() - self.confirmed_at
-        return self.confirmation.is_given() and age <= timing.CONFIRM_AFTER_S
+        return self._is_certain_since(clocks.now() - timing.CONFIRM_AFTER_S)
+
+    def _is_certain_since(self, since: float) -> bool:
+        return self.confirmation.is_given() and self.confirmed_at >= since
 
     def _needs_new_ping(self) -> bool:
         """Return whether no ping of late is answered or on its way."""
--- a/tests/test_run_grants.py
+++ b/tests/test_run_grants.py
@@ -1,5 +1,6 @@
 """How long runs may go on for an entry that was not heard of."""
 
+import asyncio
 import math
 import typing
 import unittest
@@ -78,6 +79,16 @@
         self.assertFalse(await link.confirm(0.01))
         self.assertEqual(link.confirmation.pings_sent, 1)
 
+    async def test_slow_reply(self) -> None:
+        """Guards against a busy host on which no start is ever confirmed."""
+        link, _ = test_dispatch_links.make_link()
+        asking = asyncio.ensure_future(link.confirm(timing.LINK_TIMEOUT_S))
+        await asyncio.sleep(timing.CONFIRM_AFTER_S + 0.1)
+        link.confirmation.record_pong(messages.Pong(1))
+        link.received.set()
+        link.received.clear()
+        self.assertTrue(await asking)
+
 
 class TestEntryWithoutReplies(unittest.IsolatedAsyncioTestCase):
     """Runs of an entry that has stopped to answer pings."""
