--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -6,7 +6,7 @@
 import random
 import typing
 
-from poplardrum import errors, ids, ini, log_events
+from poplardrum import errors, ids, log_events, network_address
 from poplardrum.dispatch import (
     clocks,
     completions,
@@ -62,7 +62,9 @@
         self.incarnation = ids.new_incarnation()
         self.sessions: dict[ids.Incarnation, entry_sessions.EntrySession] = {}
         self.links: set[connections.Link] = set()
-        self.keep_alive = keepalive.KeepAlive(is_passive=True)
+        self.keep_alive = keepalive.KeepAlive(
+            is_passive=True, on_check=self._stop_unconfirmed
+        )
         self.entry_links = entry_links.EntryLinks(
             config.node, config.zone, self._maintain_link, self._link_demand
         )
@@ -81,7 +83,7 @@
         for link in list(self.links):
             link.abort()
 
-    async def _maintain_link(self, address: ini.Address) -> None:
+    async def _maintain_link(self, address: network_address.Address) -> None:
         delay = _MIN_BACKOFF_S
         while True:
             try:
@@ -96,7 +98,7 @@
                 delay = _MAX_BACKOFF_S
             await asyncio.sleep(delay * random.uniform(0.5, 1))
 
-    async def _connect(self, address: ini.Address) -> None:
+    async def _connect(self, address: network_address.Address) -> None:
         async with asyncio.timeout(_CONNECT_TIMEOUT_S):
             streams = await self.open_connection(*address)
         link = connections.Link(*streams)
@@ -128,6 +130,8 @@
         self.links.add(link)
         try:
             with self.keep_alive.watch(link):
+                # The entry must have answered before tasks start.
+                link.ping()
                 self._report_state(session, link)
                 await self._receive_messages(session, link, rest)
         finally:
@@ -268,6 +272,11 @@
             if session.link is not None
         }
 
+    def _stop_unconfirmed(self, now: float) -> None:
+        """Stop runs whose entry may soon start their tasks elsewhere."""
+        for run in self.executor.runs.unconfirmed(now):
+            self.executor.stop_run(run)
+
     def _schedule_expiry(self, session: entry_sessions.EntrySession) -> None:
         asyncio.get_running_loop().call_later(
             timing.RECONNECT_TIMEOUT_S, self._expire, session, session.losses
--- a/src/poplardrum/dispatch/lifecycle.py
+++ b/src/poplardrum/dispatch/lifecycle.py
@@ -7,7 +7,7 @@
 import signal
 import typing
 
-from poplardrum import ini
+from poplardrum import network_address
 from poplardrum.dispatch import (
     clocks,
     guarded_http,
@@ -124,7 +124,7 @@
 async def serve_connections(
     stack: contextlib.AsyncExitStack,
     handler: ConnectionHandler,
-    address: ini.Address,
+    address: network_address.Address,
     listening: listeners.Listeners,
 ) -> None:
     """Accept connections at an address until the stack closes."""
@@ -139,7 +139,7 @@
 async def serve_http(
     stack: contextlib.AsyncExitStack,
     handler: guarded_http.Handler,
-    address: ini.Address,
+    address: network_address.Address,
     listening: listeners.Listeners,
     guard: process_guard.ListenerGuard | None = None,
 ) -> None:
