--- a/tests/test_evacuated_path.py
+++ b/tests/test_evacuated_path.py
@@ -28,7 +28,7 @@
 class TestEvacuatedPath(test_dispatch_path.PathCase):
     """Two entries, two agents in one zone and one in another."""
 
-    first_host = 60
+    first_host = 80
 
     async def asyncSetUp(self) -> None:
         """Start the site with two zones."""
