Let jobs wait for the first agents of an entry that has just started

Callers do not come back after 503.

Cause: the wait was bounded by the target latency, of a task that had no endpoint yet. Ruled out: a longer wait under overload, which makes all jobs late; it applies only within the start-up period and without any agent.

Test: test_no_agent_has_linked_yet.

--- a/src/poplardrum/dispatch/admission.py
+++ b/src/poplardrum/dispatch/admission.py
@@ -10,6 +10,7 @@
 _LONGEST_TASK_FACTOR: typing.Final = 1.1
 # Lets a job try all endpoints even if it cannot meet its target latency.
 _MIN_WAIT_S: typing.Final = 0.05
+_MAX_FIRST_AGENTS_WAIT_S: typing.Final = 1.0
 _RECOVERED_FRACTION: typing.Final = 0.5
 
 
@@ -43,6 +44,17 @@
     )
 
 
+def wait_for_first_agents(client_timeout: float) -> float:
+    """Return how long a job may wait at an entry that no agent has linked to.
+
+    An entry that has just started has agents within tenths of a second, and a
+    late answer is worth more to its caller than a refusal.
+    """
+    return min(
+        _CLIENT_TIMEOUT_FRACTION * client_timeout, _MAX_FIRST_AGENTS_WAIT_S
+    )
+
+
 def is_recovering(usable: int, peak_usable: int) -> bool:
     """Return whether a large part of the fleet is temporarily unavailable.
 
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -355,6 +355,8 @@
         usable = index.usable_count()
         self.peak_usable = max(self.peak_usable, usable)
         is_starting = clocks.now() - self.started_at < _STARTUP_PERIOD_S
+        if is_starting and not usable:
+            return admission.wait_for_first_agents(client_timeout)
         return admission.longest_wait(
             target_latency,
             predicted_duration,
--- a/tests/test_dispatch_decisions.py
+++ b/tests/test_dispatch_decisions.py
@@ -95,6 +95,16 @@
         self.assertGreater(wait, normal_wait)
         self.assertLessEqual(wait, 0.4 * 3.0)
 
+    def test_no_agent_has_linked_yet(self) -> None:
+        """Guards against refusals just before the first agents link.
+
+        After a loss of power, callers with short targets were refused within
+        0.05 s, though the fleet linked within 0.3 s.
+        """
+        self.assertGreater(admission.wait_for_first_agents(1.5), 0.3)
+        self.assertLessEqual(admission.wait_for_first_agents(1.5), 0.75)
+        self.assertLessEqual(admission.wait_for_first_agents(60.0), 1.0)
+
     def test_third_of_fleet_unavailable(self) -> None:
         """Guards against long waits during the whole outage of a part of the fleet."""
         self.assertFalse(admission.is_recovering(7, 10))
