--- a/review/stand_ins_2/site.py
+++ b/review/stand_ins_2/site.py
@@ -224,6 +224,14 @@
         self.store.put('op/config', text)
 
     async def __aenter__(self) -> typing.Self:
+        try:
+            await self._start_all()
+        except BaseException:
+            await self.stack.aclose()
+            raise
+        return self
+
+    async def _start_all(self) -> None:
         self.folder = pathlib.Path(
             self.stack.enter_context(
                 tempfile.TemporaryDirectory(
@@ -252,7 +260,6 @@
         for process in (*self.entries, *self.agents):
             self.stack.callback(process.kill)
             self.start(process)
-        return self
 
     async def __aexit__(self, *details: object) -> None:
         await self.stack.aclose()
