Move the checks of an owner's validity out of Ownership

The checks that stop and resume stored jobs are a job of their own, ValidityMonitor; their behaviour and their tests are the same.

--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -22,7 +22,6 @@
 
 # Finished jobs whose state is known without reading the store.
 _MAX_FINISHED_JOBS: typing.Final = 4096
-_IDLE_VALIDITY_INTERVAL_S: typing.Final = 0.25
 
 
 class Ownership:
@@ -52,7 +51,6 @@
             collections.deque()
         )
         self.background_tasks: set[asyncio.Task[object]] = set()
-        self.could_own_jobs = False
 
     def take_ownership(
         self, job: jobs.Job, pending: record_writer.PendingRecord
@@ -196,61 +194,6 @@
                 break
         return owned.job.id in self.finished_jobs
 
-    async def monitor_validity(self, interval: float) -> None:
-        """Stop all tasks while other entries may consider this one gone.
-
-        A job is owned only after a write to the store, which others have seen
-        too, so the checks may be rare until there is one.
-        """
-        while True:
-            await asyncio.sleep(
-                interval if self.owned_jobs else _IDLE_VALIDITY_INTERVAL_S
-            )
-            self.check_validity()
-
-    def check_validity(self) -> None:
-        """Stop or resume the owned jobs by whether this entry may own them.
-
-        A job may have been stored in a moment of doubt that no check has seen,
-        so each one is looked at, not only changes of the validity.
-        """
-        valid = self.can_own_jobs()
-        if valid != self.could_own_jobs:
-            self.could_own_jobs = valid
-            log_events.emit(
-                logger,
-                'ownership valid' if valid else 'ownership uncertain',
-                level=logging.INFO if valid else logging.WARNING,
-                jobs=len(self.owned_jobs),
-            )
-            if not valid:
-                self._stop_all()
-        if valid:
-            self._reclaim_unconfirmed()
-
-    def _stop_all(self) -> None:
-        for owned in self.owned_jobs.values():
-            owned.confirmed = False
-            self.coordinator.stop_tasks(owned.job)
-
-    def _reclaim_unconfirmed(self) -> None:
-        for owned in self.owned_jobs.values():
-            if not (owned.confirmed or owned.is_reclaiming):
-                owned.is_reclaiming = True
-                self.spawn(self._reclaim(owned))
-
-    async def _reclaim(self, owned: owned_jobs.OwnedJob) -> None:
-        """Resume a job if the record still names this entry as its owner."""
-        result = await self.writer.put(owned.pending)
-        owned.is_reclaiming = False
-        if result is not record_writer.WriteResult.committed:
-            self.relinquish(owned)
-            return
-        # In a new doubt the job may be taken over after this write.
-        owned.confirmed = self.can_own_jobs()
-        self.coordinator.placer.add(owned.job)
-        self.coordinator.placer.schedule()
-
     def _apply_unclaimed(self, owned: owned_jobs.OwnedJob) -> None:
         for agent, message in self.unclaimed.pop(owned.job.id):
             self._apply_completion(owned, agent, message)
--- a/src/poplardrum/dispatch/stored_job_services.py
+++ b/src/poplardrum/dispatch/stored_job_services.py
@@ -1,13 +1,11 @@
 """Set-up of an entry's services for stored jobs."""
 
-import functools
-import typing
-
 from poplardrum.dispatch import (
     coordinator,
     lifecycle,
     membership,
     ownership,
+    ownership_validity,
     record_writer,
     stored_jobs,
     takeover,
@@ -15,8 +13,6 @@
 )
 from poplardrum.platform import settings_file, store
 
-_VALIDITY_CHECK_INTERVAL_S: typing.Final = 0.1
-
 
 class StoredJobServices:
     """Record writer, ownership, takeover and requests of stored jobs."""
@@ -40,6 +36,7 @@
             self.writer,
             announcement.is_valid,
         )
+        self.validity = ownership_validity.ValidityMonitor(self.ownership)
         job_coordinator.on_unclaimed_completion = (
             self.ownership.handle_unclaimed
         )
@@ -62,12 +59,7 @@
         """Return the loops that have to run all the time, by name."""
         return [
             ('records', self.writer.run),
-            (
-                'ownership',
-                functools.partial(
-                    self.ownership.monitor_validity, _VALIDITY_CHECK_INTERVAL_S
-                ),
-            ),
+            ('ownership', self.validity.run),
             ('takeover', self.takeover.run),
             ('unclaimed jobs', self.takeover.look_up_unclaimed),
             ('cancellations', self.stored_jobs.poll_cancels),
--- a/tests/test_stored_jobs.py
+++ b/tests/test_stored_jobs.py
@@ -11,6 +11,7 @@
 from poplardrum.dispatch import (
     jobs,
     messages,
+    ownership_validity,
     record_writer,
     records,
     stored_jobs,
@@ -146,6 +147,11 @@
 class TestOwnership(stored_world.StoredCase):
     """Jobs of entries without a connection, or gone."""
 
+    async def asyncSetUp(self) -> None:
+        """Create the monitor of the entry's validity, which does not run."""
+        await super().asyncSetUp()
+        self.validity = ownership_validity.ValidityMonitor(self.entry.ownership)
+
     async def test_nothing_starts_while_ownership_is_uncertain(self) -> None:
         """Guards against runs of an entry that others consider gone."""
         self.entry.can_own_jobs = False
@@ -161,9 +167,7 @@
         self.entry.can_own_jobs = False
         await self.entry.create_owned_job()
         await stored_world.take_over(self.start('b'))
-        monitor_task = asyncio.ensure_future(
-            self.entry.ownership.monitor_validity(0.001)
-        )
+        monitor_task = asyncio.ensure_future(self.validity.run(0.001))
         self.addCleanup(monitor_task.cancel)
         self.entry.can_own_jobs = True
         await dispatch_world.wait_until(
@@ -174,10 +178,8 @@
     async def test_tasks_stop_when_ownership_ends(self) -> None:
         """Guards against runs besides those of the next owner."""
         await self.entry.create_owned_job()
-        self.entry.ownership.could_own_jobs = True
-        monitor_task = asyncio.ensure_future(
-            self.entry.ownership.monitor_validity(0.001)
-        )
+        self.validity.was_valid = True
+        monitor_task = asyncio.ensure_future(self.validity.run(0.001))
         self.addCleanup(monitor_task.cancel)
         await dispatch_world.wait_until(lambda: self.started_runs(self.link))
         self.entry.can_own_jobs = False
@@ -218,13 +220,11 @@
         It was stored in a moment of doubt that was over before the next check
         of the validity, which looked for a change alone.
         """
-        self.entry.ownership.could_own_jobs = True
+        self.validity.was_valid = True
         self.entry.can_own_jobs = False
         await self.entry.create_owned_job(tasks=1)
         self.entry.can_own_jobs = True
-        monitoring = asyncio.ensure_future(
-            self.entry.ownership.monitor_validity(0.001)
-        )
+        monitoring = asyncio.ensure_future(self.validity.run(0.001))
         self.addCleanup(monitoring.cancel)
         await dispatch_world.wait_until(lambda: self.started_runs(self.link))
         self.assertEqual(self.started_runs(self.link), [1])
@@ -236,11 +236,11 @@
         """
         owned = await self.entry.create_owned_job(tasks=1)
         job_ownership = self.entry.ownership
-        job_ownership.could_own_jobs = True
+        self.validity.was_valid = True
         commits = self.store.commits
         for can_own_jobs in (False, True, False):
             self.entry.can_own_jobs = can_own_jobs
-            job_ownership.check_validity()
+            self.validity.check()
         await dispatch_world.wait_until(lambda: self.store.commits > commits)
         await asyncio.sleep(0.02)
         self.entry.can_own_jobs = True
