Count waiting jobs by their markers, which are written with the records

Cause: an entry published its counts each 0.7 s in a key of its own. Acceptance and count were two writes, so what it had accepted since was in no count when it died; the markers, which have been in the store all the while, served as an upper limit only. The same holds for an entry that is frozen or cut off, for a takeover, for two lost entries or queues, and for a start that was sent and refused.

Change: markers say the queue, and whether an endpoint has accepted a task of the job; readers add up markers. Agents report accepted starts (`RunStarted`), since "was sent" is another fact. The marker of a job that has begun is written in the room that transactions have left; new jobs come first. A takeover moves the marker, with what it says, in the transaction that moves the record. So acceptance and count can't part.

Ruled out: the scan for takeovers and the cache of 0.7 s (wrong for 3 s).

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -11,6 +11,7 @@
     clocks,
     completions,
     connections,
+    endpoint_runs,
     entry_links,
     entry_sessions,
     executor,
@@ -164,6 +165,9 @@
         for notice in self.executor.monitor.crashes.recent_notices:
             link.send(notice)
         link.send(self.executor.active_runs(session))
+        session_runs = self.executor.runs.of_session(session)
+        for start_notice in endpoint_runs.start_notices(session_runs):
+            link.send(start_notice)
         self.reporter.attach(link)
         log_events.emit(logger, 'entry linked', entry=session.node)
 
--- a/src/poplardrum/dispatch/commands.py
+++ b/src/poplardrum/dispatch/commands.py
@@ -193,8 +193,7 @@
         result: endpoints.RequestResult,
     ) -> StartRefusal | None:
         if result is endpoints.RequestResult.accepted:
-            run.state = endpoint_runs.RunState.running
-            run.listed_from = clocks.now()
+            run.confirm_start(clocks.now())
             return None
         if result is not endpoints.RequestResult.unanswered:
             return endpoint_runs.REFUSAL_BY_RESULT[result], result.value
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -71,10 +71,10 @@
         )
         self.completion_rate = return_times.CompletionRate()
         self.return_times = return_times.ReturnTimes()
-        # Handles completions of runs that this entry did not start.
-        self.on_unclaimed_completion: typing.Callable[
-            [fleet.Agent, messages.UnackedCompletion], None
-        ] = _ignore_completion
+        # Handles what is for the owners of stored jobs.
+        self.on_owner_message: typing.Callable[
+            [fleet.Agent, messages.OwnerMessage], None
+        ] = _ignore_message
 
     def submit(self, job: jobs.Job) -> None:
         """Add a job; its `outcome` is set when the job is over."""
@@ -149,8 +149,8 @@
                 self._reconcile_runs(agent, message)
             case messages.Straggler():
                 self._handle_straggler(agent, message)
-            case messages.UnackedCompletion():
-                self.on_unclaimed_completion(agent, message)
+            case messages.UnackedCompletion() | messages.RunStarted():
+                self.on_owner_message(agent, message)
             case messages.CrashNotice():
                 self.crash_handler.handle(agent, message)
                 self.placer.schedule()
@@ -303,14 +303,9 @@
     ) -> tuple[jobs.Job, jobs.Task] | None:
         """Return the job and task whose current run is `run` at `agent`."""
         job = self.jobs.get(job_id)
-        if job is None or run.task_index >= len(job.tasks):
+        if job is None or not job.is_placed(run, agent):
             return None
-        task = job.tasks[run.task_index]
-        if task.agent is not agent or task.run_number != run.number:
-            return None
-        if task.phase is not jobs.Phase.placed:
-            return None
-        return job, task
+        return job, job.tasks[run.task_index]
 
     def _call_expiry(self, agent: fleet.Agent, delay: float) -> None:
         loop = asyncio.get_running_loop()
@@ -382,7 +377,5 @@
             )
 
 
-def _ignore_completion(
-    agent: fleet.Agent, unacked: messages.UnackedCompletion
-) -> None:
-    """Leave the completion to other entries."""
+def _ignore_message(agent: fleet.Agent, message: messages.OwnerMessage) -> None:
+    """Leave the message to other entries."""
--- a/src/poplardrum/dispatch/endpoint_runs.py
+++ b/src/poplardrum/dispatch/endpoint_runs.py
@@ -69,12 +69,21 @@
         The report was requested at `requested_at`.
         """
         if self.state is not RunState.running:
-            self.state = RunState.running
-            self.listed_from = requested_at
+            self.confirm_start(requested_at)
         if self.run_progress is None:
             self.run_progress = stragglers.RunProgress(self.started_at)
         self.run_progress.observe(percent, now)
 
+    def confirm_start(self, listed_from: float) -> None:
+        """Record that it has started; tell the owner of a stored job.
+
+        Reports that are requested at `listed_from` or later list it.
+        """
+        self.state = RunState.running
+        self.listed_from = listed_from
+        if self.stored:
+            self.session.notify(messages.RunStarted(self.job, self.id))
+
     def may_start(self) -> bool:
         """Return whether its entry still wants it to start."""
         return not self.stopping and self.session.is_connected()
@@ -92,6 +101,17 @@
         )
 
 
+def start_notices(
+    runs: typing.Iterable[Run],
+) -> list[messages.RunStarted]:
+    """Return the notices for the runs of stored jobs that have started."""
+    return [
+        messages.RunStarted(run.job, run.id)
+        for run in runs
+        if run.stored and run.state is RunState.running
+    ]
+
+
 def requested_run(
     session: entry_sessions.EntrySession,
     request: messages.StartTasks,
--- a/src/poplardrum/dispatch/entry_sessions.py
+++ b/src/poplardrum/dispatch/entry_sessions.py
@@ -42,6 +42,11 @@
         if self.link is not None:
             self.link.send(message)
 
+    def notify(self, message: messages.Message) -> None:
+        """Send a message now, or never if the entry is not connected."""
+        if self.link is not None:
+            self.link.send(message)
+
     def attach(self, link: connections.Link) -> None:
         """Continue on a new connection; send the last messages again."""
         self.link = link
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -318,6 +318,17 @@
         if not self.outcome.done():
             self.outcome.set_result(outcome)
 
+    def is_placed(self, run: messages.RunId, agent: fleet.Agent) -> bool:
+        """Return whether a run is the current one of its task, at an agent."""
+        if run.task_index >= len(self.tasks):
+            return False
+        task = self.tasks[run.task_index]
+        return (
+            task.agent is agent
+            and task.run_number == run.number
+            and task.phase is Phase.placed
+        )
+
     def placed_tasks(self) -> list[Task]:
         """Return the tasks that have been sent to agents."""
         return [task for task in self.tasks if task.phase is Phase.placed]
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -293,6 +293,16 @@
     forecast: tuple[int, ...] = ()
 
 
+class RunStarted(Message, frozen=True, tag=18):
+    """Notice that the endpoint has accepted a run of a stored job.
+
+    It is sent again after a reconnect while the run is active.
+    """
+
+    job: ids.JobId
+    run: RunId
+
+
 class EvacuatedZones(Message, frozen=True, tag=17):
     """The zones in which no task may start, as of a revision of the store."""
 
@@ -300,6 +310,8 @@
     zones: list[str]
 
 
+# Messages of an agent that are for the owner of a stored job.
+OwnerMessage = UnackedCompletion | RunStarted
 AnyMessage = (
     AgentHello
     | EntryHello
@@ -318,4 +330,5 @@
     | CrashNotice
     | CheckRuns
     | EvacuatedZones
+    | RunStarted
 )
--- a/src/poplardrum/dispatch/owned_jobs.py
+++ b/src/poplardrum/dispatch/owned_jobs.py
@@ -37,6 +37,15 @@
     confirmed: bool = True
     is_reclaiming: bool = False
 
+    def is_marker_outdated(self) -> bool:
+        """Return whether the marker does not say yet that the job has begun."""
+        pending = self.pending
+        return (
+            pending.has_begun
+            and not (pending.dirty or pending.is_writing)
+            and pending.stored_marker != pending.marker_content()
+        )
+
     def handle_redelivery(
         self, agent: fleet.Agent, completion_id: messages.CompletionId
     ) -> None:
--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -22,6 +22,14 @@
 
 # Finished jobs whose state is known without reading the store.
 _MAX_FINISHED_JOBS: typing.Final = 4096
+# A run that was lost may not have started.
+_OUTCOMES_OF_STARTED_RUNS: typing.Final = frozenset(
+    (
+        messages.Outcome.done,
+        messages.Outcome.failed,
+        messages.Outcome.stopped,
+    )
+)
 
 
 class Ownership:
@@ -98,6 +106,40 @@
         owned = self.owned_jobs.get(job.id)
         return owned is not None and owned.confirmed and self.can_own_jobs()
 
+    def handle_message(
+        self, agent: fleet.Agent, message: messages.OwnerMessage
+    ) -> None:
+        """Handle a message of an agent that is for the owner of a job."""
+        match message:
+            case messages.UnackedCompletion():
+                self.handle_unclaimed(agent, message)
+            case messages.RunStarted():
+                self.record_start(agent, message)
+
+    def record_start(
+        self, agent: fleet.Agent, notice: messages.RunStarted
+    ) -> None:
+        """Record that a task of a stored job has started at an endpoint."""
+        owned = self.owned_jobs.get(notice.job)
+        if owned is not None and owned.job.is_placed(notice.run, agent):
+            owned.pending.has_begun = True
+
+    def store_starts(self) -> None:
+        """Have the markers say which jobs have begun.
+
+        Jobs that end before need no write for it.
+        """
+        for owned in self.owned_jobs.values():
+            if owned.is_marker_outdated():
+                self.spawn(self._store(owned, in_background=True))
+
+    def count_waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue wait here for their first start."""
+        return sum(
+            pending.is_waiting() and pending.record.queue == queue
+            for pending in self.writer.open_records.values()
+        )
+
     def record_completion(
         self,
         job: jobs.Job,
@@ -110,6 +152,8 @@
         if owned is None:
             return
         record = owned.pending.record
+        if completion.outcome in _OUTCOMES_OF_STARTED_RUNS:
+            owned.pending.has_begun = True
         if completion.checkpoint:
             task.checkpoint = completion.checkpoint
             record.checkpoints[task.index] = completion.checkpoint
@@ -259,12 +303,14 @@
             if agent is not None:
                 unclaimed_completions.acknowledge([(agent, key[1])])
 
-    async def _store(self, owned: owned_jobs.OwnedJob) -> bool:
+    async def _store(
+        self, owned: owned_jobs.OwnedJob, *, in_background: bool = False
+    ) -> bool:
         """Store the record; stop running the job if it has another owner."""
-        if (
-            await self.writer.put(owned.pending)
-            is record_writer.WriteResult.committed
-        ):
+        result = await self.writer.put(
+            owned.pending, in_background=in_background
+        )
+        if result is record_writer.WriteResult.committed:
             return True
         if not owned.job.outcome.done():
             self.relinquish(owned)
--- a/src/poplardrum/dispatch/record_writer.py
+++ b/src/poplardrum/dispatch/record_writer.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import enum
+import itertools
 import logging
 import typing
 
@@ -40,7 +41,8 @@
 
     `revision` is that of the last known write, 0 before the first. The
     record is `uncertain` while an unanswered write may still take
-    effect. `node` is that of the owner.
+    effect. `node` is that of the owner. `has_begun` is set once a task of the
+    job has started. `stored_marker` is the last known content of the marker.
     """
 
     job: ids.JobId
@@ -51,6 +53,8 @@
     uncertain: bool = False
     cancelled: bool = False
     node: str = ''
+    has_begun: bool = False
+    stored_marker: bytes | None = None
     waiters: list['asyncio.Future[WriteResult]'] = dataclasses.field(
         default_factory=list,
     )
@@ -64,6 +68,18 @@
             self.record.is_over() or not stored_record.is_over()
         )
 
+    def is_waiting(self) -> bool:
+        """Return whether the job is stored and no task of it has started."""
+        return bool(self.revision) and not (
+            self.has_begun or self.record.is_over()
+        )
+
+    def marker_content(self) -> bytes:
+        """Return what the marker is to say now."""
+        return records.encode_marker(
+            records.MarkerContent(self.node, self.record.queue, self.has_begun)
+        )
+
     def changes(self) -> list[store.Change]:
         """Return the changes that store the current record."""
         marker = records.marker_key(self.record.owner, self.job)
@@ -76,8 +92,8 @@
         ]
         if self.record.is_over():
             pending_changes.append(store.Change(marker, None))
-        elif not self.revision:
-            pending_changes.append(store.Change(marker, self.node.encode()))
+        elif self.marker_content() != self.stored_marker:
+            pending_changes.append(store.Change(marker, self.marker_content()))
         if self.cancelled:
             pending_changes.append(
                 store.Change(records.CANCELS_PREFIX + self.job, None)
@@ -106,6 +122,8 @@
         self.commit_interval = _MIN_COMMIT_INTERVAL_S
         self.open_records: dict[ids.JobId, PendingRecord] = {}
         self.dirty_records: dict[ids.JobId, PendingRecord] = {}
+        # Changed records that nobody waits for: they fill up transactions.
+        self.background_records: dict[ids.JobId, PendingRecord] = {}
         self.has_dirty_records = asyncio.Event()
         self.store_reachable = True
 
@@ -126,24 +144,35 @@
     ) -> PendingRecord:
         """Start tracking a record; `revision` is that of its last write."""
         pending = PendingRecord(job, record, revision, node=self.node)
-        self.open_records[job] = pending
+        self.track(pending)
         return pending
 
+    def track(self, pending: PendingRecord) -> None:
+        """Start tracking a record."""
+        self.open_records[pending.job] = pending
+
     def close(self, pending: PendingRecord) -> None:
         """Stop tracking a record; waiters get `WriteResult.taken_over`."""
         if self.open_records.get(pending.job) is pending:
             self.open_records.pop(pending.job)
         self.dirty_records.pop(pending.job, None)
+        self.background_records.pop(pending.job, None)
         _resolve_waiters(pending, WriteResult.taken_over)
 
-    async def put(self, pending: PendingRecord) -> WriteResult:
-        """Write the current record; return once the result is known."""
+    async def put(
+        self, pending: PendingRecord, *, in_background: bool = False
+    ) -> WriteResult:
+        """Write the current record; return once the result is known.
+
+        Writes `in_background` come after all others.
+        """
         waiter: asyncio.Future[WriteResult] = (
             asyncio.get_running_loop().create_future()
         )
         pending.waiters.append(waiter)
         pending.dirty = True
-        self.dirty_records[pending.job] = pending
+        queue = self.background_records if in_background else self.dirty_records
+        queue[pending.job] = pending
         self.has_dirty_records.set()
         return await waiter
 
@@ -161,7 +190,7 @@
         """Commit changed records until cancelled."""
         while True:
             await self.has_dirty_records.wait()
-            group = list(self.dirty_records.values())[:_MAX_RECORDS_PER_COMMIT]
+            group = self._next_group()
             if not group:
                 self.has_dirty_records.clear()
                 continue
@@ -172,32 +201,45 @@
                 await asyncio.sleep(_RETRY_INTERVAL_S)
             await asyncio.sleep(self.commit_interval)
 
+    def _next_group(self) -> list[PendingRecord]:
+        in_order = itertools.chain(
+            self.dirty_records.values(),
+            (
+                pending
+                for job, pending in self.background_records.items()
+                if job not in self.dirty_records
+            ),
+        )
+        return list(itertools.islice(in_order, _MAX_RECORDS_PER_COMMIT))
+
     async def _commit(self, group: list[PendingRecord]) -> None:
         changes = []
         waiting = []
         for pending in group:
-            self.dirty_records.pop(pending.job)
+            self.dirty_records.pop(pending.job, None)
+            self.background_records.pop(pending.job, None)
             pending.dirty = False
             pending.is_writing = True
             changes += pending.changes()
             # Callers of `put` during the commit wait for the next one.
-            waiting.append((pending, pending.waiters))
+            waiting.append((pending, pending.marker_content(), pending.waiters))
             pending.waiters = []
         with contextlib.ExitStack() as stack:
             stack.callback(_clear_writing, group)
             try:
                 result = await self.store.commit(changes)
             except errors.PoplardrumError:
-                for pending, waiters in waiting:
+                for pending, _, waiters in waiting:
                     pending.waiters = waiters + pending.waiters
                 raise
         if not self.store_reachable:
             self.store_reachable = True
             log_events.emit(logger, 'records committed again')
-        for pending, waiters in waiting:
+        for pending, marker_content, waiters in waiting:
             if result.index:
                 pending.revision = result.index
                 pending.uncertain = False
+                pending.stored_marker = marker_content
                 _resolve(waiters, WriteResult.committed)
             else:
                 pending.waiters = waiters + pending.waiters
--- a/src/poplardrum/dispatch/records.py
+++ b/src/poplardrum/dispatch/records.py
@@ -7,12 +7,12 @@
 
 from poplardrum import decoding, ids
 from poplardrum.dispatch import jobs, messages
+from poplardrum.platform import store
 
 JOBS_PREFIX: typing.Final = 'poplardrum/jobs/'
 # One marker for each unfinished job, below the incarnation of its owner.
 OWNED_PREFIX: typing.Final = 'poplardrum/owned/'
 CANCELS_PREFIX: typing.Final = 'poplardrum/cancels/'
-WAITING_PREFIX: typing.Final = 'poplardrum/waiting/'
 # Each owner numbers its runs from a higher multiple of this, and thus above
 # those of all earlier owners. Refused runs take numbers too.
 RUNS_PER_OWNER: typing.Final = 10**6
@@ -96,6 +96,10 @@
         previous_count = self.failure_counts.get(run.task_index, 0)
         self.failure_counts[run.task_index] = previous_count + 1
 
+    def has_begun(self) -> bool:
+        """Return whether its completions show that a task has started."""
+        return bool(self.done_tasks or self.failure_counts)
+
     def has_completion(self, run: messages.RunId) -> bool:
         """Return whether the completion of a run is of no further use.
 
@@ -118,6 +122,27 @@
         return tasks
 
 
+class MarkerContent(msgspec.Struct, frozen=True, array_like=True):
+    """What the marker of an unfinished job says.
+
+    `node` is that of the owner. The queue is empty in markers of the previous
+    version. `has_begun` may lag behind the first start of a task.
+    """
+
+    node: str
+    queue: str = ''
+    has_begun: bool = False
+
+
+class Marker(typing.NamedTuple):
+    """Marker of an unfinished job, and the store's index of its last write."""
+
+    owner: ids.Incarnation
+    job: ids.JobId
+    written_at: int
+    content: MarkerContent
+
+
 def record_key(job: ids.JobId) -> str:
     """Return the key of a record."""
     return JOBS_PREFIX + job
@@ -128,12 +153,30 @@
     return f'{OWNED_PREFIX}{owner}/{job}'
 
 
-def parse_marker_key(marker: str) -> tuple[ids.Incarnation, ids.JobId] | None:
-    """Return owner and job of a marker's key, `None` if it is malformed."""
-    owner, slash, job = marker.removeprefix(OWNED_PREFIX).partition('/')
+def parse_marker(item: store.StoredValue) -> Marker | None:
+    """Return a stored marker, `None` if its key is malformed."""
+    owner, slash, job = item.key.removeprefix(OWNED_PREFIX).partition('/')
     if not slash or not owner or not job:
         return None
-    return ids.Incarnation(owner), ids.JobId(job)
+    return Marker(
+        ids.Incarnation(owner),
+        ids.JobId(job),
+        item.index,
+        _decode_marker_content(item.value),
+    )
+
+
+def _decode_marker_content(encoded: bytes) -> MarkerContent:
+    try:
+        return decoding.decode_json(encoded, MarkerContent)
+    except ValueError:
+        # Markers of the previous version have the node alone.
+        return MarkerContent(encoded.decode('utf-8', 'replace'))
+
+
+def encode_marker(content: MarkerContent) -> bytes:
+    """Encode the content of a marker for the store."""
+    return msgspec.json.encode(content)
 
 
 def encode(record: Record) -> bytes:
--- a/src/poplardrum/dispatch/stored_job_services.py
+++ b/src/poplardrum/dispatch/stored_job_services.py
@@ -37,9 +37,7 @@
             announcement.is_valid,
         )
         self.validity = ownership_validity.ValidityMonitor(self.ownership)
-        job_coordinator.on_unclaimed_completion = (
-            self.ownership.handle_unclaimed
-        )
+        job_coordinator.on_owner_message = self.ownership.handle_message
         owner_tracker = takeover.OwnerTracker()
         self.takeover = takeover.Takeover(
             record_store, self.ownership, owner_tracker
@@ -47,9 +45,7 @@
         self.stored_jobs = stored_jobs.StoredJobs(
             record_store,
             self.ownership,
-            waiting_jobs.WaitingJobs(
-                record_store, self.ownership, owner_tracker
-            ),
+            waiting_jobs.WaitingJobs(record_store, self.ownership),
             config.states_kept,
         )
 
@@ -63,6 +59,6 @@
             ('takeover', self.takeover.run),
             ('unclaimed jobs', self.takeover.look_up_unclaimed),
             ('cancellations', self.stored_jobs.poll_cancels),
-            ('job counts', self.stored_jobs.waiting.publish),
+            ('job markers', self.stored_jobs.waiting.update_markers),
             ('expired records', self.stored_jobs.remove_expired_records),
         ]
--- a/src/poplardrum/dispatch/stored_jobs.py
+++ b/src/poplardrum/dispatch/stored_jobs.py
@@ -90,14 +90,14 @@
         """Return the state of a job; raise `unknown_job` if there is none."""
         owned = self.ownership.owned_jobs.get(job)
         if owned is not None:
-            return 'running' if owned.job.started else 'queued'
+            return 'running' if owned.pending.has_begun else 'queued'
         finished = self.ownership.finished_jobs.get(job)
         if finished is not None:
             return finished.value
         record = await self._read_record(job)
         if record.is_over():
             return record.state.value
-        return 'running' if record.done_tasks else 'queued'
+        return 'running' if record.has_begun() else 'queued'
 
     async def cancel(self, job: ids.JobId) -> None:
         """Cancel a job of any entry; raise `unknown_job` if there is none."""
--- a/src/poplardrum/dispatch/takeover.py
+++ b/src/poplardrum/dispatch/takeover.py
@@ -15,6 +15,7 @@
     jobs,
     membership,
     ownership,
+    record_writer,
     records,
     timing,
 )
@@ -30,14 +31,6 @@
 _MAX_CONCURRENT_TAKEOVERS: typing.Final = 8
 
 
-class Marker(typing.NamedTuple):
-    """Marker of an unfinished job, and the store's index of its last write."""
-
-    owner: ids.Incarnation
-    job: ids.JobId
-    written_at: int
-
-
 class OwnerTracker:
     """Track which owners are announced, and since when others are not."""
 
@@ -202,19 +195,18 @@
     def _incarnation(self) -> ids.Incarnation:
         return self.ownership.incarnation
 
-    def _decode_markers(self, items: list[store.StoredValue]) -> list[Marker]:
+    def _decode_markers(
+        self, items: list[store.StoredValue]
+    ) -> list[records.Marker]:
         markers = []
         for item in items:
-            owner_and_job = records.parse_marker_key(item.key)
-            if owner_and_job is not None:
-                marker = Marker(*owner_and_job, item.index)
+            marker = records.parse_marker(item)
+            if marker is not None:
                 markers.append(marker)
-                self.owner_tracker.nodes[marker.owner] = item.value.decode(
-                    'utf-8', 'replace'
-                )
+                self.owner_tracker.nodes[marker.owner] = marker.content.node
         return markers
 
-    def _can_take_over(self, marker: Marker, now: float) -> bool:
+    def _can_take_over(self, marker: records.Marker, now: float) -> bool:
         if self.ownership.has_record(marker.job):
             return False
         if marker.owner == self._incarnation():
@@ -237,9 +229,9 @@
             return None
         return record, item.index
 
-    async def _take_over(self, marker: Marker) -> None:
+    async def _take_over(self, marker: records.Marker) -> None:
         """Take over a job if it still belongs to the owner of its marker."""
-        owner, job, _ = marker
+        owner, job = marker.owner, marker.job
         current = await self._read_record(job)
         if self.ownership.has_record(job):
             return
@@ -250,7 +242,14 @@
             await self.store.get(records.CANCELS_PREFIX + job) is not None
         )
         new_record = current[0].with_next_owner(self._incarnation())
-        index = await self._commit_owner(marker, new_record, current[1])
+        pending = record_writer.PendingRecord(
+            job,
+            new_record,
+            current[1],
+            node=self.ownership.node,
+            has_begun=marker.content.has_begun or new_record.has_begun(),
+        )
+        index = await self._commit_owner(marker, pending)
         if not index or self.ownership.has_record(job):
             return
         log_events.emit(
@@ -262,7 +261,8 @@
             done=len(new_record.done_tasks),
             cancelled=cancelled,
         )
-        pending = self.ownership.writer.open(job, new_record, index)
+        pending.revision = index
+        self.ownership.writer.track(pending)
         owned = self.ownership.take_ownership(
             make_job(job, new_record, self.ownership), pending
         )
@@ -270,7 +270,7 @@
             await self.ownership.cancel(owned)
 
     async def _commit_owner(
-        self, marker: Marker, new_record: records.Record, index: int
+        self, marker: records.Marker, pending: record_writer.PendingRecord
     ) -> int:
         """Store a record that names this entry; return its index or 0.
 
@@ -280,14 +280,15 @@
         changes = [
             store.Change(
                 records.record_key(marker.job),
-                records.encode(new_record),
-                index,
+                records.encode(pending.record),
+                pending.revision,
             ),
         ]
         if marker.owner != self._incarnation():
+            pending.stored_marker = pending.marker_content()
             new_marker = store.Change(
                 records.marker_key(self._incarnation(), marker.job),
-                self.ownership.node.encode(),
+                pending.stored_marker,
             )
             changes += [_removal(marker), new_marker]
         try:
@@ -304,7 +305,7 @@
             raise
 
 
-def _removal(marker: Marker) -> store.Change:
+def _removal(marker: records.Marker) -> store.Change:
     """Return the removal of a marker unless it was written again."""
     marker_key = records.marker_key(marker.owner, marker.job)
     return store.Change(marker_key, None, marker.written_at)
--- a/src/poplardrum/dispatch/waiting_jobs.py
+++ b/src/poplardrum/dispatch/waiting_jobs.py
@@ -1,46 +1,34 @@
-"""Counts of stored jobs that have not started yet, by queue."""
+"""Counts of stored jobs of which no task has started yet."""
 
 import asyncio
-import collections
 import typing
 
-import msgspec
-
-from poplardrum import decoding, errors, ids
-from poplardrum.dispatch import clocks, ownership, records, takeover
+from poplardrum import ids
+from poplardrum.dispatch import clocks, ownership, records
 from poplardrum.platform import store
 
 _INTERVAL_S: typing.Final = 0.7
-_MAX_REMOVALS_PER_COMMIT: typing.Final = 30
-
-
-class WaitingCounts(msgspec.Struct, frozen=True, array_like=True):
-    """Number of jobs of one entry that have not started yet, by queue."""
-
-    owner: ids.Incarnation
-    waiting: dict[str, decoding.Amount]
 
 
 class WaitingJobs:
-    """Publish the counts of this entry and add up those of all entries.
+    """Count the jobs of all entries that wait.
 
-    Each entry has a key for its counts while it has any. That of an entry that
-    is gone stays until its jobs have been taken over.
+    The jobs of other entries are counted by their markers, which are written
+    together with the records: a job that is accepted counts from then on,
+    whatever happens to its owner.
     """
 
     def __init__(
         self,
         record_store: store.RecordStore,
         job_ownership: ownership.Ownership,
-        owner_tracker: takeover.OwnerTracker,
     ) -> None:
         """Count the jobs of `job_ownership` as those of this entry."""
         self.store = record_store
         self.ownership = job_ownership
-        self.owner_tracker = owner_tracker
-        self.published: dict[str, int] = {}
-        self.others: list[WaitingCounts] = []
-        self.others_read_at = 0.0
+        # Queues of the jobs that wait by their markers.
+        self.marked_queues: dict[ids.JobId, str] = {}
+        self.markers_read_at = 0.0
 
     async def count(self, queue: str) -> int:
         """Return how many stored jobs of a queue have not started yet.
@@ -48,95 +36,33 @@
         Raise `errors.PoplardrumError` if the store does not answer.
         """
         now = clocks.now()
-        if now - self.others_read_at > _INTERVAL_S:
-            self.others = await self._read_others()
-            self.others_read_at = now
-        return self.count_own()[queue] + sum(
-            counts.waiting.get(queue, 0) for counts in self.others
+        if now - self.markers_read_at > _INTERVAL_S:
+            self.marked_queues = await self._read_markers()
+            self.markers_read_at = now
+        others = sum(
+            marked_queue == queue and not self._is_known_here(job)
+            for job, marked_queue in self.marked_queues.items()
         )
+        return self.ownership.count_waiting(queue) + others
 
-    async def publish(self) -> None:
-        """Publish the counts of this entry until cancelled."""
+    async def update_markers(self) -> None:
+        """Keep the markers of this entry's jobs current until cancelled."""
         while True:
             await asyncio.sleep(_INTERVAL_S)
-            counts = dict(self.count_own())
-            if counts == self.published:
-                continue
-            try:
-                await self.store.commit([self.change_to(counts)])
-            except errors.PoplardrumError:
-                # Outdated counts do no harm, and `RouteTable` logs that the
-                # store is unreachable.
-                continue
-            self.published = counts
-
-    def change_to(self, counts: dict[str, int]) -> store.Change:
-        """Return the change that publishes counts, or removes them if none."""
-        owner = self.ownership.incarnation
-        content = msgspec.json.encode(WaitingCounts(owner, counts))
-        return store.Change(
-            records.WAITING_PREFIX + owner, content if counts else None
-        )
-
-    def count_own(self) -> collections.Counter[str]:
-        """Return the number of this entry's jobs that wait, by queue."""
-        return collections.Counter(
-            owned.job.queue
-            for owned in self.ownership.owned_jobs.values()
-            if not owned.job.started
-        )
+            self.ownership.store_starts()
 
-    async def _read_others(self) -> list[WaitingCounts]:
-        stored_values = await self.store.list(records.WAITING_PREFIX)
-        published = [
-            counts
-            for counts in map(_decode_counts, stored_values)
-            if counts is not None and counts.owner != self.ownership.incarnation
-        ]
-        announced = self.owner_tracker.announced()
-        if all(counts.owner in announced for counts in published):
-            return published
-        jobs_by_owner = await self._count_markers()
-        await self._remove_counts(
-            counts.owner
-            for counts in published
-            if counts.owner not in announced and not jobs_by_owner[counts.owner]
+    def _is_known_here(self, job: ids.JobId) -> bool:
+        return (
+            self.ownership.has_record(job)
+            or job in self.ownership.finished_jobs
         )
-        return [
-            counts
-            if counts.owner in announced
-            else _limit(counts, jobs_by_owner[counts.owner])
-            for counts in published
-        ]
-
-    async def _remove_counts(
-        self, owners: typing.Iterable[ids.Incarnation]
-    ) -> None:
-        """Remove the counts of owners whose jobs have all been taken over."""
-        changes = [
-            store.Change(records.WAITING_PREFIX + owner, None)
-            for owner in owners
-        ]
-        if changes:
-            await self.store.commit(changes[:_MAX_REMOVALS_PER_COMMIT])
-
-    async def _count_markers(self) -> collections.Counter[str]:
-        """Return the number of unfinished jobs by owner."""
-        items = await self.store.list(records.OWNED_PREFIX)
-        markers = [records.parse_marker_key(item.key) for item in items]
-        return collections.Counter(marker[0] for marker in markers if marker)
-
-
-def _limit(counts: WaitingCounts, limit: int) -> WaitingCounts:
-    """Return counts of an owner that has `limit` jobs left to take over."""
-    return WaitingCounts(
-        counts.owner,
-        {queue: min(count, limit) for queue, count in counts.waiting.items()},
-    )
-
 
-def _decode_counts(item: store.StoredValue) -> WaitingCounts | None:
-    try:
-        return decoding.decode_json(item.value, WaitingCounts)
-    except ValueError:
-        return None
+    async def _read_markers(self) -> dict[ids.JobId, str]:
+        """Return the queues of the jobs that have not begun."""
+        stored_markers = await self.store.list(records.OWNED_PREFIX)
+        markers = map(records.parse_marker, stored_markers)
+        return {
+            marker.job: marker.content.queue
+            for marker in markers
+            if marker is not None and not marker.content.has_begun
+        }
--- a/tests/stored_world.py
+++ b/tests/stored_world.py
@@ -140,16 +140,12 @@
             self.writer,
             lambda: self.can_own_jobs,
         )
-        self.coordinator.on_unclaimed_completion = (
-            self.ownership.handle_unclaimed
-        )
+        self.coordinator.on_owner_message = self.ownership.handle_message
         self.owner_tracker = takeover.OwnerTracker()
         self.takeover = takeover.Takeover(
             memory_store, self.ownership, self.owner_tracker
         )
-        self.waiting = waiting_jobs.WaitingJobs(
-            memory_store, self.ownership, self.owner_tracker
-        )
+        self.waiting = waiting_jobs.WaitingJobs(memory_store, self.ownership)
         self.writer_task = asyncio.ensure_future(self.writer.run())
 
     async def close(self) -> None:
@@ -196,18 +192,24 @@
         )
 
     async def create_owned_job(
-        self, tasks: int = 2, max_attempts: int = 2
+        self,
+        tasks: int = 2,
+        max_attempts: int = 2,
+        *,
+        job: ids.JobId = JOB_ID,
+        queue: str = 'r-1',
     ) -> owned_jobs.OwnedJob:
         """Store a job that this entry owns, and run it."""
         record = self.new_record(tasks, max_attempts)
-        pending = self.writer.open(JOB_ID, record)
+        record.queue = queue
+        pending = self.writer.open(job, record)
         if (
             await self.writer.put(pending)
             is not record_writer.WriteResult.committed
         ):
             raise AssertionError('not committed')
         return self.ownership.take_ownership(
-            takeover.make_job(JOB_ID, record, self.ownership),
+            takeover.make_job(job, record, self.ownership),
             pending,
         )
 
--- a/tests/test_agent_sessions.py
+++ b/tests/test_agent_sessions.py
@@ -141,6 +141,38 @@
         )
 
 
+class TestStartNotices(AgentCase):
+    """What the owner of a stored job learns of starts."""
+
+    run_duration = 30.0
+
+    async def wait_for_notice(self) -> None:
+        """Wait for the notice that run 1 of task 0 has started."""
+        notice = messages.RunStarted(JOB_ID, messages.RunId(0, 1))
+        await dispatch_world.wait_until(
+            lambda: notice in self.entry.received_of(messages.RunStarted)
+        )
+
+    async def test_accepted_start(self) -> None:
+        """Guards against a job that waits for ever by its owner's count."""
+        await self.start_run()
+        await self.wait_for_notice()
+
+    async def test_unanswered_start(self) -> None:
+        """Guards against a lost reply that hides a start."""
+        self.world.endpoint.faults['start'] = ['silent']
+        await self.start_run()
+        await self.wait_for_notice()
+
+    async def test_new_connection(self) -> None:
+        """Guards against a notice that is lost with its connection."""
+        await self.start_run()
+        await self.wait_for_notice()
+        self.entry.links[-1].abort()
+        await self.wait_until_linked(2)
+        await self.wait_for_notice()
+
+
 class TestReturnDuringStops(AgentCase):
     """An entry that comes back while its runs are being stopped."""
 
--- a/tests/test_message_faults.py
+++ b/tests/test_message_faults.py
@@ -140,7 +140,7 @@
         """Play jobs, faults and a freeze; return what is wrong at the end."""
         simulation = self.fleet.simulation
         job_coordinator = self.fleet.entries['front-0'].coordinator
-        job_coordinator.on_unclaimed_completion = functools.partial(
+        job_coordinator.on_owner_message = functools.partial(
             _apply_retained, job_coordinator
         )
         simulation.run_until(simulation.now + 3)
@@ -161,9 +161,11 @@
 def _apply_retained(
     job_coordinator: coordinator.Coordinator,
     agent: fleet.Agent,
-    message: messages.UnackedCompletion,
+    message: messages.OwnerMessage,
 ) -> None:
     """Apply a completion that comes again, as the owner of a job does."""
+    if not isinstance(message, messages.UnackedCompletion):
+        return
     job_coordinator.handle_message(
         agent,
         messages.Completion(
