Move refusals and time-outs of jobs out of Coordinator

The timers of jobs for which a caller waits are a job of their own, JobDeadlines; the handler of crashes makes its own table of suspects. Behaviour and tests are the same.

--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -9,13 +9,12 @@
     clocks,
     continuity,
     crash_handling,
-    crash_suspects,
     fleet,
+    job_deadlines,
     job_placer,
     jobs,
     messages,
     moves,
-    return_times,
     room_index,
     timing,
 )
@@ -51,16 +50,13 @@
         slow for a job are left to others as long as the job can be in time.
         """
         self.zone = zone
-        self.has_short_room = has_short_room
         self.agents: dict[ids.Incarnation, fleet.Agent] = {}
         self.index = room_index.RoomIndex(zone)
         self.incarnations: dict[str, set[ids.Incarnation]] = {}
         self.jobs: dict[ids.JobId, jobs.Job] = {}
         self.continuity = continuity.Continuity()
-        self.suspects = crash_suspects.CrashSuspects()
-        self.crash_handler = crash_handling.CrashHandler(
-            self.jobs, self.suspects
-        )
+        self.crash_handler = crash_handling.CrashHandler(self.jobs)
+        self.suspects = self.crash_handler.suspects
         self.placer = job_placer.JobPlacer(
             self.index,
             far_factor,
@@ -69,8 +65,9 @@
             has_short_room=has_short_room,
             looks_ahead=looks_ahead,
         )
-        self.completion_rate = return_times.CompletionRate()
-        self.return_times = return_times.ReturnTimes()
+        self.deadlines = job_deadlines.JobDeadlines(
+            self.jobs, self.placer, has_short_room=has_short_room
+        )
         # Handles what is for the owners of stored jobs.
         self.on_owner_message: typing.Callable[
             [fleet.Agent, messages.OwnerMessage], None
@@ -89,12 +86,7 @@
         loop = asyncio.get_running_loop()
         self.placer.order.record_arrival(job, loop.time())
         if job.owner is None:
-            if self.has_short_room:
-                job.any_speed_at = job.last_in_time(self.index.min_slowness())
-                loop.call_at(job.any_speed_at, self.placer.schedule)
-            loop.call_at(job.last_resort_at, self.placer.schedule)
-            loop.call_at(job.refuse_at, self._refuse_unstarted, job)
-            loop.call_at(job.deadline, self._time_out, job)
+            self.deadlines.schedule(job)
         self.placer.schedule()
 
     def finish(self, job: jobs.Job) -> None:
@@ -209,7 +201,9 @@
         task.leave_agent(job.id, jobs.Phase.done)
         now = asyncio.get_running_loop().time()
         duration = now - task.placed_at
-        self.completion_rate.record(task.step.need.cores() * duration, now)
+        self.deadlines.completion_rate.record(
+            task.step.need.cores() * duration, now
+        )
         task.normalized_duration = duration / max(agent.slowness, _MIN_SLOWNESS)
         if all(each.phase is jobs.Phase.done for each in job.tasks):
             job.resolve(jobs.JobOutcome.completed)
@@ -338,44 +332,6 @@
             task.avoided_nodes.add(agent.node)
         self.placer.schedule()
 
-    def _refuse_unstarted(self, job: jobs.Job) -> None:
-        if not job.started and not job.outcome.done():
-            usable = self.index.usable_count()
-            now = asyncio.get_running_loop().time()
-            self.placer.order.record_refusal(job, now)
-            job.outcome.set_exception(
-                errors.refusal(
-                    errors.Code.overload,
-                    f'no room in time for {len(job.tasks)} tasks: '
-                    f'{usable} agents usable, '
-                    f'{len(self.placer.pending_jobs)} jobs waiting',
-                    retry_after=self._return_time(job),
-                ),
-            )
-
-    def _return_time(self, job: jobs.Job) -> float:
-        """Return the seconds after which a refused job may come back."""
-        now = asyncio.get_running_loop().time()
-        backlog = sum(
-            each.remaining_work()
-            for each in self.jobs.values()
-            if not each.outcome.done()
-        )
-        work = job.remaining_work()
-        return self.return_times.promise(
-            now, backlog - work, work, self.completion_rate.value()
-        )
-
-    def _time_out(self, job: jobs.Job) -> None:
-        if not job.started:
-            self._refuse_unstarted(job)
-        elif not job.outcome.done():
-            job.outcome.set_exception(
-                errors.uncertain_outcome(
-                    errors.Code.deadline, 'deadline passed'
-                ),
-            )
-
 
 def _ignore_message(agent: fleet.Agent, message: messages.OwnerMessage) -> None:
     """Leave the message to other entries."""
--- a/src/poplardrum/dispatch/crash_handling.py
+++ b/src/poplardrum/dispatch/crash_handling.py
@@ -16,11 +16,10 @@
     def __init__(
         self,
         jobs_by_id: typing.Mapping[ids.JobId, jobs.Job],
-        suspects: crash_suspects.CrashSuspects,
     ) -> None:
-        """Handle the jobs of a coordinator."""
+        """Handle the jobs of a coordinator, without suspects."""
         self.jobs = jobs_by_id
-        self.suspects = suspects
+        self.suspects = crash_suspects.CrashSuspects()
 
     def handle(self, agent: fleet.Agent, notice: messages.CrashNotice) -> None:
         """Apply a notice, and store crashes of stored jobs."""
