Never acknowledge a completion that a later run has overtaken

Cause: the time after which the runs of a lost agent are over proves that nothing runs there, not that nothing was done. And whatever named a finished job was acknowledged, at each entry, also the end of a run that a later one had overtaken. No wait is long enough for an agent that stays away, so both halves are mended:

- completion_verdicts judges a completion by the record and by what the owner has started.
Records name the run that was done, and the last run that was given up; that is stored before the task starts again.
- reachability: an owner gives up the runs of a lost agent only if the store has answered since the loss and, after an outage, for 2 s; and after 4.5 s if all agents of another zone are lost.
A single lost host: 2.35 s as before, and one write.

Open: a completion that comes after its record was removed is acknowledged.

On the way: the paths of completions and of discards left Ownership, EndpointCommands and Executor for modules of their own.

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -159,7 +159,7 @@
         not active any more, or of free capacity, may start its task again.
         """
         now = clocks.now()
-        for retained in self.executor.completions.unacknowledged.values():
+        for retained in self.executor.completions.awaiting_answer():
             if link in self._receivers(retained, now):
                 link.send(retained.message)
         for notice in self.executor.monitor.crashes.recent_notices:
@@ -211,6 +211,11 @@
                     message.completion_ids
                 ):
                     self.executor.report_needed.set()
+            case messages.CompletionsOvertaken():
+                if self.executor.completions.reject(
+                    message.completion_ids, clocks.now()
+                ):
+                    self.executor.request_report()
             case _:
                 pass
 
--- a/src/poplardrum/dispatch/commands.py
+++ b/src/poplardrum/dispatch/commands.py
@@ -7,7 +7,6 @@
 from poplardrum import log_events
 from poplardrum.dispatch import (
     clocks,
-    completions,
     endpoint_runs,
     lease,
     messages,
@@ -157,36 +156,6 @@
             timeout_s=_STOP_REQUEST_TIMEOUT_S,
         )
 
-    def discard_backlog(
-        self, tracker: completions.CompletionTracker, now: float
-    ) -> bool:
-        """Discard completions if too many are not acknowledged.
-
-        The lease is suspended first. Once it has lapsed, the completions
-        are discarded, and their tasks may start again. Return whether it
-        has lapsed.
-        """
-        if not tracker.is_backlogged():
-            return False
-        if not self.lease.suspended:
-            self.lease.suspended = True
-            self.request_report()
-            log_events.emit(
-                logger,
-                'lease suspended: too many unacknowledged completions',
-                level=logging.WARNING,
-                held=len(tracker.unacknowledged),
-            )
-        if not self.lease.has_lapsed(now):
-            return False
-        log_events.emit(
-            logger,
-            'unacknowledged completions discarded',
-            level=logging.WARNING,
-            ends=tracker.discard_unacknowledged(),
-        )
-        return True
-
     def _handle_start_reply(
         self,
         run: endpoint_runs.Run,
--- a/src/poplardrum/dispatch/completions.py
+++ b/src/poplardrum/dispatch/completions.py
@@ -10,7 +10,7 @@
 
 # The endpoint retains completions of stored jobs with these outcomes until
 # they are recorded in the store.
-RETAINED_OUTCOMES: typing.Final = frozenset(
+_RETAINED_OUTCOMES: typing.Final = frozenset(
     (messages.Outcome.done, messages.Outcome.failed),
 )
 # Time without an acknowledgement after which a completion is sent again.
@@ -32,7 +32,8 @@
     session, in which the entry may not have heard of the completion.
 
     Once it is overdue, the entry is taken for one that cannot store it, and any
-    entry may be the next owner of the job.
+    entry may be the next owner of the job. One that `is_overtaken` by a later
+    run stays so, whatever other entries say.
     """
 
     message: messages.UnackedCompletion
@@ -40,6 +41,7 @@
     retained_at: float
     sent_at: float
     broadcast_at: float = -math.inf
+    is_overtaken: bool = False
 
     def is_overdue(self, now: float) -> bool:
         """Return whether its entry has not acknowledged it for too long."""
@@ -47,6 +49,8 @@
 
     def is_due(self, now: float) -> bool:
         """Return whether it has to be sent again."""
+        if self.is_overtaken:
+            return False
         if self.is_overdue(now):
             return now - self.broadcast_at > _BROADCAST_INTERVAL_S
         return now - self.sent_at > _RESEND_AFTER_S
@@ -70,12 +74,25 @@
         self.incarnation = 0
         self.last_listed = 0
         self.unacknowledged: dict[int, RetainedCompletion] = {}
+        # Since when one of them is overtaken.
+        self.overtaken_since: float | None = None
 
     def reset(self, incarnation: int) -> None:
         """Start over for an incarnation without completions."""
         self.incarnation = incarnation
         self.last_listed = 0
         self.unacknowledged.clear()
+        self.overtaken_since = None
+
+    def must_retain(
+        self, run: endpoint_runs.Run | None, outcome: messages.Outcome
+    ) -> bool:
+        """Return whether a completion has to be acknowledged.
+
+        An unknown run may be of a stored job: an earlier process of this agent
+        started it, or an entry that is gone.
+        """
+        return outcome in _RETAINED_OUTCOMES and (run is None or run.stored)
 
     def observe(self, number: int) -> bool:
         """Record a listed completion; return whether it is new."""
@@ -95,9 +112,17 @@
         """
         return any(
             retained.entry not in linked_entries or retained.is_overdue(now)
-            for retained in self.unacknowledged.values()
+            for retained in self.awaiting_answer()
         )
 
+    def awaiting_answer(self) -> list[RetainedCompletion]:
+        """Return the completions of which entries have to hear."""
+        return [
+            retained
+            for retained in self.unacknowledged.values()
+            if not retained.is_overtaken
+        ]
+
     def acknowledged_up_to(self) -> int:
         """Return the number up to which the endpoint may drop completions."""
         return (
@@ -121,11 +146,21 @@
             and self.last_listed - self.acknowledged_up_to() > _MAX_BACKLOG
         )
 
-    def discard_unacknowledged(self) -> int:
-        """Discard unacknowledged completions; return their number."""
-        count = len(self.unacknowledged)
-        self.unacknowledged.clear()
-        return count
+    def discard(self) -> int:
+        """Discard what cannot be acknowledged; return how many completions.
+
+        That is all of a backlog, or those that are overtaken.
+        """
+        is_backlogged = self.is_backlogged()
+        discarded = [
+            number
+            for number, retained in self.unacknowledged.items()
+            if is_backlogged or retained.is_overtaken
+        ]
+        for number in discarded:
+            self.unacknowledged.pop(number)
+        self.overtaken_since = None
+        return len(discarded)
 
     def retain(
         self,
@@ -160,12 +195,35 @@
         self, completion_ids: typing.Iterable[messages.CompletionId]
     ) -> bool:
         """Acknowledge completions; return whether any of them was retained."""
-        removed = [
-            self.unacknowledged.pop(completion_id.number, None)
+        acknowledged = [
+            retained.message.completion_id.number
+            for retained in self._find(completion_ids)
+            if not retained.is_overtaken
+        ]
+        for number in acknowledged:
+            self.unacknowledged.pop(number)
+        return bool(acknowledged)
+
+    def reject(
+        self, completion_ids: typing.Iterable[messages.CompletionId], now: float
+    ) -> bool:
+        """Record overtaken completions; return whether any was retained."""
+        overtaken = self._find(completion_ids)
+        for retained in overtaken:
+            retained.is_overtaken = True
+        if overtaken and self.overtaken_since is None:
+            self.overtaken_since = now
+        return bool(overtaken)
+
+    def _find(
+        self, completion_ids: typing.Iterable[messages.CompletionId]
+    ) -> list[RetainedCompletion]:
+        return [
+            self.unacknowledged[completion_id.number]
             for completion_id in completion_ids
             if completion_id.incarnation == self.incarnation
+            and completion_id.number in self.unacknowledged
         ]
-        return any(removed)
 
     def due_for_resend(self, now: float) -> list[RetainedCompletion]:
         """Return completions to send again, and reset their send times."""
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -15,6 +15,7 @@
     jobs,
     messages,
     moves,
+    reachability,
     room_index,
     timing,
 )
@@ -23,6 +24,8 @@
 
 # An earlier run of the task is being stopped.
 _CONFLICT_RETRY_DELAY_S: typing.Final = 0.02
+# Until an agent that may only be out of reach is looked at again.
+_EXPIRY_RETRY_INTERVAL_S: typing.Final = 0.25
 # Refusals that say nothing about the node.
 _BLAMELESS_REFUSALS: typing.Final = frozenset(
     (messages.Refusal.no_room, messages.Refusal.unknown),
@@ -54,6 +57,7 @@
         self.index = room_index.RoomIndex(zone)
         self.incarnations: dict[str, set[ids.Incarnation]] = {}
         self.jobs: dict[ids.JobId, jobs.Job] = {}
+        self.reachability = reachability.Reachability(zone, self.agents)
         self.continuity = continuity.Continuity()
         self.crash_handler = crash_handling.CrashHandler(self.jobs)
         self.suspects = self.crash_handler.suspects
@@ -221,6 +225,8 @@
             if found is None:
                 continue
             job, task = found
+            if refusal.reason is not messages.Refusal.unknown:
+                task.withdraw_start()
             if refusal.reason not in _BLAMELESS_REFUSALS:
                 task.avoided_nodes.add(agent.node)
             if refusal.reason is messages.Refusal.conflict:
@@ -308,7 +314,7 @@
     def _expire_agent(self, agent: fleet.Agent, loss: int) -> None:
         if agent.link is not None or agent.losses != loss:
             return
-        if fleet.has_settled_links(self.agents.values(), clocks.now()):
+        if self.reachability.is_gone(agent, clocks.now()):
             self._remove_agent(agent)
             return
         # Stored jobs wait for what the agent has to report. Others need not.
@@ -317,7 +323,7 @@
                 self._requeue(job, task)
                 task.avoided_nodes.add(agent.node)
         self.placer.schedule()
-        self._call_expiry(agent, timing.RELINK_TIMEOUT_S)
+        self._call_expiry(agent, _EXPIRY_RETRY_INTERVAL_S)
 
     def _remove_agent(self, agent: fleet.Agent) -> None:
         if agent.link is not None:
@@ -330,6 +336,8 @@
         for job, task in jobs.tasks_at(self.jobs, agent):
             self._requeue(job, task)
             task.avoided_nodes.add(agent.node)
+            if job.owner is not None:
+                job.owner.record_given_up(job, task)
         self.placer.schedule()
 
 
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -8,7 +8,7 @@
 from poplardrum.dispatch import (
     clocks,
     commands,
-    completions,
+    completion_discard,
     endpoint_runs,
     endpoint_status,
     entry_sessions,
@@ -48,7 +48,10 @@
         self.metrics = metrics.Metrics()
         self.runs = run_table.RunTable()
         self.status = endpoint_status.EndpointStatus()
-        self.completions = completions.CompletionTracker()
+        self.discard = completion_discard.CompletionDiscard(
+            self.lease, self.request_report
+        )
+        self.completions = self.discard.tracker
         # Whether the last report listed only runs that this agent started. An
         # earlier process of the agent may have left others.
         self.is_reconciled = False
@@ -83,6 +86,7 @@
             and self.endpoint_reachable
             and not self.stopping
             and not self.lease.suspended
+            and self.completions.overtaken_since is None
             and self.monitor.can_start(clocks.now(), len(self.runs))
         )
 
@@ -294,10 +298,10 @@
 
     def _resume_lease(self, now: float) -> None:
         """Resume a suspended lease once the cause of its suspension is gone."""
-        if self.commands.discard_backlog(self.completions, now):
+        if self.discard.review(now, len(self.runs)):
             self.expire_runs(now)
         if self.lease.suspended and not (
-            self.completions.is_backlogged()
+            self.discard.needs_lapse(now, len(self.runs))
             or any(run.stopping for run in self.runs.values())
         ):
             self.lease.suspended = False
@@ -329,11 +333,7 @@
         if run is not None and run.id.number != completion.run:
             run = None
         completion_id = None
-        # An unknown run may be of a stored job: an earlier process of this
-        # agent started it, or an entry that is gone.
-        if outcome in completions.RETAINED_OUTCOMES and (
-            run is None or run.stored
-        ):
+        if self.completions.must_retain(run, outcome):
             completion_id = self.completions.retain(run, completion, now)
             if run is None and completion_id is not None:
                 # Sent before this agent accepts tasks, so that no entry
--- a/src/poplardrum/dispatch/fleet.py
+++ b/src/poplardrum/dispatch/fleet.py
@@ -38,6 +38,7 @@
     # How often its link was lost.
     losses: int = 0
     linked_at: float = 0.0
+    lost_at: float = 0.0
     # Cores that its runs are expected to leave, as of `forecast_at`.
     forecast: tuple[int, ...] = ()
     forecast_at: float = 0.0
@@ -137,6 +138,7 @@
     def on_disconnected(self) -> None:
         """Remove the lost connection; the agent is unusable without one."""
         self.link = None
+        self.lost_at = clocks.now()
         self.accepting = False
         self.on_change(self)
 
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -79,7 +79,9 @@
 class Task:
     """One task of a step.
 
-    `run_number` is the number of its latest run. `normalized_duration` is
+    `run_number` is the number of its latest run, and `latest_start` that of the
+    latest one that may have started here, 0 if there is none; before its current
+    run that was `earlier_start`. `normalized_duration` is
     the duration of its last run, in seconds on an endpoint of slowness 1. The
     task `was_moved` if its run was stopped as a straggler to start it elsewhere.
     """
@@ -88,6 +90,8 @@
     step: Step
     phase: Phase = Phase.waiting
     run_number: int = 0
+    latest_start: int = 0
+    earlier_start: int = 0
     placed_at: float = 0.0
     normalized_duration: float = 0.0
     failures: int = 0
@@ -100,10 +104,16 @@
         """Record that its next run has been sent to an agent."""
         self.phase = Phase.placed
         self.run_number += 1
+        self.earlier_start = self.latest_start
+        self.latest_start = self.run_number
         self.agent = agent
         self.placed_at = now
         agent.track((job, self.index))
 
+    def withdraw_start(self) -> None:
+        """Record that its current run has not started and never will."""
+        self.latest_start = self.earlier_start
+
     def run_id(self) -> messages.RunId:
         """Return the id of its current or last run."""
         return messages.RunId(self.index, self.run_number)
@@ -130,6 +140,12 @@
     ) -> None:
         """Record the completion of a run."""
 
+    def record_given_up(self, job: 'Job', task: Task) -> None:
+        """Record that a run is over, and that it may have been done.
+
+        The task must not start again before that is stored.
+        """
+
     def record_crash(self, job: 'Job', task: int, crash: ids.CrashId) -> None:
         """Record that a task, by its index, may have crashed an endpoint."""
 
--- a/src/poplardrum/dispatch/lease.py
+++ b/src/poplardrum/dispatch/lease.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from poplardrum.dispatch import timing
+from poplardrum.dispatch import clocks, timing
 
 _MS_PER_S: typing.Final = 1000
 
@@ -27,7 +27,8 @@
         self.clock_offset_updated_at = 0.0
         self.fencing_token = 0
         self.token_step = 1
-        self.renewed_at = 0.0
+        # An earlier process of the agent may have renewed it just before.
+        self.renewed_at = clocks.now()
         self.suspended = False
 
     def reset(self, clock_ms: int, now: float) -> None:
--- a/src/poplardrum/dispatch/membership.py
+++ b/src/poplardrum/dispatch/membership.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from poplardrum import decoding, errors, ids, log_events, network_address
-from poplardrum.dispatch import clocks, messages, timing
+from poplardrum.dispatch import clocks, messages, reachability, timing
 from poplardrum.platform import store
 
 logger = logging.getLogger(__name__)
@@ -93,6 +93,7 @@
         self.key = PREFIX + node
         self.member = Member(*address, incarnation, zone)
         self.last_seen_at = -math.inf
+        self.store_contact = reachability.StoreContact()
         self.lease: store.LeaseId | None = None
         self.missing = asyncio.Event()
 
@@ -170,6 +171,7 @@
         """Read the announcement back, since it can vanish before its lease."""
         requested_at = clocks.now()
         snapshot = await self.store.read(self.key)
+        self.store_contact.record_answer(requested_at)
         announced = {
             member.incarnation for member in decode(snapshot.values).values()
         }
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -109,7 +109,7 @@
     Each run is answered by `Refused` or `Completion`. `first_index` is the
     index of the step's first task in the job. The endpoint retains completions
     of runs of a `stored` job until they are acknowledged by
-    `CompletionsAcknowledged`. `checkpoints` has the checkpoints to resume from,
+    `CompletionsAcknowledged` or `CompletionsOvertaken`. `checkpoints` has the checkpoints to resume from,
     by task index.
     """
 
@@ -224,6 +224,15 @@
     completion_ids: list[CompletionId]
 
 
+class CompletionsOvertaken(Message, frozen=True, tag=19):
+    """Completions after which their tasks may have been started again.
+
+    The endpoint may drop them only once its lease has lapsed since.
+    """
+
+    completion_ids: list[CompletionId]
+
+
 class Straggler(Message, frozen=True, tag=11):
     """A run that is far behind.
 
@@ -331,4 +340,5 @@
     | CheckRuns
     | EvacuatedZones
     | RunStarted
+    | CompletionsOvertaken
 )
--- a/src/poplardrum/dispatch/owned_jobs.py
+++ b/src/poplardrum/dispatch/owned_jobs.py
@@ -26,7 +26,8 @@
     `unstored` has the completions that were applied and that the store may not
     have yet, with the agents that expect their acknowledgements. The job is
     not `confirmed` while another entry may have taken it over; a write that is
-    to find that out `is_reclaiming` it.
+    to find that out `is_reclaiming` it. `unstored_losses` is the number of runs
+    that were given up, which the store may not have yet.
     """
 
     job: jobs.Job
@@ -36,6 +37,7 @@
     )
     confirmed: bool = True
     is_reclaiming: bool = False
+    unstored_losses: int = 0
 
     def is_marker_outdated(self) -> bool:
         """Return whether the marker does not say yet that the job has begun."""
--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -8,6 +8,7 @@
 from poplardrum import ids, log_events
 from poplardrum.dispatch import (
     clocks,
+    completion_intake,
     coordinator,
     fleet,
     jobs,
@@ -53,6 +54,9 @@
             ids.JobId, records.State
         ] = collections.OrderedDict()
         self.unclaimed = unclaimed_completions.UnclaimedCompletions()
+        self.intake = completion_intake.CompletionIntake(
+            job_coordinator, self.unclaimed
+        )
         # Finished jobs whose records this entry has to remove, and the times
         # at which they finished.
         self.records_to_remove: collections.deque[tuple[float, ids.JobId]] = (
@@ -70,7 +74,7 @@
         """
         owned = owned_jobs.OwnedJob(job, pending, confirmed=self.can_own_jobs())
         self.owned_jobs[job.id] = owned
-        self._apply_unclaimed(owned)
+        self.intake.apply_unclaimed(owned)
         self.coordinator.suspects.restore(job.id, pending.record.crashes)
         # The last owner may have stored all completions, but not the outcome.
         outcome = owned_jobs.decided_outcome(job)
@@ -104,7 +108,12 @@
     def may_start(self, job: jobs.Job) -> bool:
         """Return whether tasks of a stored job may start now."""
         owned = self.owned_jobs.get(job.id)
-        return owned is not None and owned.confirmed and self.can_own_jobs()
+        return (
+            owned is not None
+            and owned.confirmed
+            and not owned.unstored_losses
+            and self.can_own_jobs()
+        )
 
     def handle_message(
         self, agent: fleet.Agent, message: messages.OwnerMessage
@@ -112,7 +121,9 @@
         """Handle a message of an agent that is for the owner of a job."""
         match message:
             case messages.UnackedCompletion():
-                self.handle_unclaimed(agent, message)
+                self.intake.handle(
+                    agent, message, self.owned_jobs.get(message.job)
+                )
             case messages.RunStarted():
                 self.record_start(agent, message)
 
@@ -176,6 +187,15 @@
         if not job.outcome.done():
             self.spawn(self._commit(owned, key))
 
+    def record_given_up(self, job: jobs.Job, task: jobs.Task) -> None:
+        """Store that a run was given up, of which no completion is known."""
+        owned = self.owned_jobs.get(job.id)
+        if owned is not None:
+            given_up_runs = owned.pending.record.given_up_runs
+            given_up_runs[task.index] = task.run_number
+            owned.unstored_losses += 1
+            self.spawn(self._store_loss(owned))
+
     def record_crash(
         self, job: jobs.Job, task: int, crash: ids.CrashId
     ) -> None:
@@ -188,27 +208,13 @@
             crashes.append(crash)
             self.spawn(self._store(owned))
 
-    def handle_unclaimed(
-        self, agent: fleet.Agent, message: messages.UnackedCompletion
-    ) -> None:
-        """Handle the completion of a run that this entry did not start."""
-        if message.job in self.finished_jobs:
-            unclaimed_completions.acknowledge([(agent, message.completion_id)])
-            return
-        self.unclaimed.add(agent, message)
-        owned = self.owned_jobs.get(message.job)
-        if owned is not None:
-            self._apply_unclaimed(owned)
-        else:
-            self.unclaimed.request_look_up(message.job)
-
-    def mark_finished(self, job: ids.JobId, state: records.State) -> None:
-        """Record the state of a finished job; acknowledge its completions."""
-        self.finished_jobs[job] = state
+    def mark_finished(self, job: ids.JobId, record: records.Record) -> None:
+        """Record the state of a finished job; answer its completions."""
+        self.finished_jobs[job] = record.state
         self.records_to_remove.append((clocks.now(), job))
         if len(self.finished_jobs) > _MAX_FINISHED_JOBS:
             self.finished_jobs.popitem(last=False)
-        self.unclaimed.acknowledge(job)
+        self.unclaimed.settle(job, record)
 
     def pop_records_to_remove(self, before: float) -> list[ids.JobId]:
         """Remove and return the jobs that finished before a time."""
@@ -238,60 +244,6 @@
                 break
         return owned.job.id in self.finished_jobs
 
-    def _apply_unclaimed(self, owned: owned_jobs.OwnedJob) -> None:
-        for agent, message in self.unclaimed.pop(owned.job.id):
-            self._apply_completion(owned, agent, message)
-
-    def _apply_completion(
-        self,
-        owned: owned_jobs.OwnedJob,
-        agent: fleet.Agent,
-        message: messages.UnackedCompletion,
-    ) -> None:
-        """Apply a completion of a run that this entry may not have started.
-
-        Agents send completions again until they are acknowledged, so one that
-        the record has is not applied twice. Once this owner has started the
-        task, a run of an earlier owner that is done is ignored, since the task
-        would complete twice; one that failed has used up an attempt.
-        """
-        task = owned.job.task_at(message.step, message.index_in_step)
-        if task is None:
-            return
-        run_id = messages.RunId(task.index, message.run_number)
-        if owned.pending.record.has_completion(run_id):
-            owned.handle_redelivery(agent, message.completion_id)
-            return
-        completion = messages.Completion(
-            owned.job.id, run_id, message.outcome, message.completion_id
-        )
-        unstarted_run_number = (
-            owned.pending.record.epoch * records.RUNS_PER_OWNER
-        )
-        unstarted = (
-            task.phase is jobs.Phase.waiting
-            and task.run_number == unstarted_run_number
-        )
-        if unstarted or task.run_number == message.run_number:
-            self.coordinator.apply_completion(
-                owned.job, task, agent, completion
-            )
-        elif message.outcome is messages.Outcome.failed:
-            self._count_failure(owned, task, agent, completion)
-
-    def _count_failure(
-        self,
-        owned: owned_jobs.OwnedJob,
-        task: jobs.Task,
-        agent: fleet.Agent,
-        completion: messages.Completion,
-    ) -> None:
-        """Count a failed run besides the current run of its task."""
-        task.failures += 1
-        self.record_completion(owned.job, task, agent, completion)
-        if task.failures >= owned.job.max_attempts:
-            owned.job.resolve(jobs.JobOutcome.failed)
-
     async def _commit(
         self,
         owned: owned_jobs.OwnedJob,
@@ -303,6 +255,13 @@
             if agent is not None:
                 unclaimed_completions.acknowledge([(agent, key[1])])
 
+    async def _store_loss(self, owned: owned_jobs.OwnedJob) -> None:
+        """Store that a run was given up; then its task may start again."""
+        if await self._store(owned):
+            owned.unstored_losses -= 1
+            self.coordinator.placer.add(owned.job)
+            self.coordinator.placer.schedule()
+
     async def _store(
         self, owned: owned_jobs.OwnedJob, *, in_background: bool = False
     ) -> bool:
@@ -337,7 +296,7 @@
                     for (_, completion_id), agent in owned.unstored.items()
                 ]
             )
-            self.mark_finished(owned.job.id, record.state)
+            self.mark_finished(owned.job.id, record)
             log_events.emit(
                 logger,
                 'stored job finished',
--- a/src/poplardrum/dispatch/records.py
+++ b/src/poplardrum/dispatch/records.py
@@ -37,8 +37,11 @@
     `owner` is the incarnation of the entry that runs the job, and `epoch`
     counts the owners before it. `done_tasks` has the indexes of tasks that
     are done. By index of the task, `failure_counts` has how many runs failed,
-    `failed_runs` the numbers of these runs, `checkpoints` the last checkpoint
-    and `crashes` the crashes of endpoints that the task may have caused. `target_latency` is in seconds.
+    `failed_runs` the numbers of these runs, `checkpoints` the last checkpoint,
+    `crashes` the crashes of endpoints that the task may have caused,
+    `done_runs` the number of the run that was done and `given_up_runs` that of
+    the last run whose completion was not waited for. `target_latency` is in
+    seconds.
 
     New fields come last, with a default: entries of the previous version read
     and write the same records.
@@ -59,6 +62,8 @@
     checkpoints: dict[int, str] = {}
     failed_runs: dict[int, list[int]] = {}
     crashes: dict[int, list[ids.CrashId]] = {}
+    done_runs: dict[int, int] = {}
+    given_up_runs: dict[int, int] = {}
 
     def is_over(self) -> bool:
         """Return whether the job has finished or was cancelled."""
@@ -83,12 +88,15 @@
             crashes={
                 task: list(crashes) for task, crashes in self.crashes.items()
             },
+            done_runs=dict(self.done_runs),
+            given_up_runs=dict(self.given_up_runs),
         )
 
     def add_completion(self, run: messages.RunId, *, is_done: bool) -> None:
         """Add the completion of a run, which is done or has failed."""
         if is_done:
             self.done_tasks.append(run.task_index)
+            self.done_runs[run.task_index] = run.number
             self.checkpoints.pop(run.task_index, None)
             return
         failed_runs = self.failed_runs.setdefault(run.task_index, [])
@@ -101,14 +109,18 @@
         return bool(self.done_tasks or self.failure_counts)
 
     def has_completion(self, run: messages.RunId) -> bool:
-        """Return whether the completion of a run is of no further use.
-
-        Either it was added before, or the task is done.
-        """
-        return (
-            run.number in self.failed_runs.get(run.task_index, ())
-            or run.task_index in self.done_tasks
-        )
+        """Return whether the completion of a run was added before."""
+        return run.number in self.failed_runs.get(
+            run.task_index, ()
+        ) or run.number == self.done_runs.get(run.task_index)
+
+    def run_at(
+        self, step: int, position: int, number: int
+    ) -> messages.RunId | None:
+        """Return the id of a run by its task's position in a step."""
+        if step >= len(self.steps) or position >= self.steps[step].count:
+            return None
+        return messages.RunId(self.steps[step].first + position, number)
 
     def make_tasks(self) -> list[jobs.Task]:
         """Return the tasks in the state in which the owner starts."""
@@ -209,6 +221,8 @@
         *record.failure_counts,
         *record.checkpoints,
         *record.crashes,
+        *record.done_runs,
+        *record.given_up_runs,
     )
     return (
         task_count <= _MAX_TASKS
--- a/src/poplardrum/dispatch/stored_job_services.py
+++ b/src/poplardrum/dispatch/stored_job_services.py
@@ -37,6 +37,7 @@
             announcement.is_valid,
         )
         self.validity = ownership_validity.ValidityMonitor(self.ownership)
+        job_coordinator.reachability.store_contact = announcement.store_contact
         job_coordinator.on_owner_message = self.ownership.handle_message
         owner_tracker = takeover.OwnerTracker()
         self.takeover = takeover.Takeover(
--- a/src/poplardrum/dispatch/takeover.py
+++ b/src/poplardrum/dispatch/takeover.py
@@ -148,8 +148,7 @@
     async def look_up_unclaimed(self) -> None:
         """Read the records of jobs with unclaimed completions, until cancelled.
 
-        Completions of jobs that have finished or do not exist are
-        acknowledged.
+        Completions of jobs that have finished or do not exist are answered.
         """
         while True:
             await self.ownership.unclaimed.has_jobs_to_look_up.wait()
@@ -164,8 +163,10 @@
 
     async def _look_up_job(self, job: ids.JobId) -> None:
         record = await self._read_record(job)
-        if record is None or record[0].is_over():
+        if record is None:
             self.ownership.unclaimed.acknowledge(job)
+        elif record[0].is_over():
+            self.ownership.unclaimed.settle(job, record[0])
 
     async def scan(self) -> None:
         """Take over the jobs of owners that are gone.
--- a/src/poplardrum/dispatch/unclaimed_completions.py
+++ b/src/poplardrum/dispatch/unclaimed_completions.py
@@ -2,10 +2,18 @@
 
 import asyncio
 import collections
+import logging
 import typing
 
-from poplardrum import ids
-from poplardrum.dispatch import fleet, messages
+from poplardrum import ids, log_events
+from poplardrum.dispatch import (
+    completion_verdicts,
+    fleet,
+    messages,
+    records,
+)
+
+logger = logging.getLogger(__name__)
 
 # Jobs whose completions were received but that this entry does not own;
 # their owners may be gone.
@@ -59,11 +67,41 @@
         return list(self.by_job.pop(job, {}).values())
 
     def acknowledge(self, job: ids.JobId) -> None:
-        """Acknowledge completions of a job that does not need them any more."""
+        """Acknowledge the completions of a job that is not known."""
         acknowledge(
             [(agent, message.completion_id) for agent, message in self.pop(job)]
         )
 
+    def settle(self, job: ids.JobId, record: records.Record) -> None:
+        """Answer the completions of a job that is over."""
+        for agent, message in self.pop(job):
+            run = record.run_at(
+                message.step, message.index_in_step, message.run_number
+            )
+            if run is None or (
+                completion_verdicts.judge(record, run, message.outcome)
+                is completion_verdicts.Verdict.settled
+            ):
+                acknowledge([(agent, message.completion_id)])
+            else:
+                reject(agent, message)
+
+
+def reject(agent: fleet.Agent, message: messages.UnackedCompletion) -> None:
+    """Tell an agent that a completion was overtaken by a later run."""
+    log_events.emit(
+        logger,
+        'completion overtaken',
+        job=message.job,
+        agent=agent.node,
+        step=message.step,
+        task=message.index_in_step,
+        run=message.run_number,
+        outcome=message.outcome.name,
+    )
+    if agent.link is not None:
+        agent.link.send(messages.CompletionsOvertaken([message.completion_id]))
+
 
 def acknowledge(completions: typing.Iterable[AgentCompletion]) -> None:
     """Tell agents that their endpoints may drop completions."""
--- a/tests/test_message_faults.py
+++ b/tests/test_message_faults.py
@@ -79,6 +79,9 @@
                 [(agent, completion.completion_id)]
             )
 
+    def record_given_up(self, job: jobs.Job, task: jobs.Task) -> None:
+        """Do nothing."""
+
     def record_crash(
         self, job: jobs.Job, task: int, crash: ids.CrashId
     ) -> None:
