Refuse a job to each caller that waited for it when it is withdrawn

What callers see: a job is submitted twice at one entry while the store is away (a caller sends again after a broken connection). The first caller's time is over, so the record is withdrawn and the refusal is true; the second one, which still waits, had 200 for a job that is stored nowhere (LOST).

Cause: `submit` took the end of the creation for success. A withdrawn record ended it with the same result as one that another entry owns, which is an accepted job.

--- a/src/poplardrum/dispatch/record_writer.py
+++ b/src/poplardrum/dispatch/record_writer.py
@@ -29,10 +29,15 @@
 
 
 class WriteResult(enum.Enum):
-    """Result of a write: committed, or the record has another owner."""
+    """Result of a write.
+
+    It is committed, the record has another owner, or nothing was or will be
+    written.
+    """
 
     committed = 'committed'
     taken_over = 'taken'
+    withdrawn = 'withdrawn'
 
 
 @dataclasses.dataclass
@@ -151,13 +156,17 @@
         """Start tracking a record."""
         self.open_records[pending.job] = pending
 
-    def close(self, pending: PendingRecord) -> None:
-        """Stop tracking a record; waiters get `WriteResult.taken_over`."""
+    def close(
+        self,
+        pending: PendingRecord,
+        result: WriteResult = WriteResult.taken_over,
+    ) -> None:
+        """Stop tracking a record; waiters get a result."""
         if self.open_records.get(pending.job) is pending:
             self.open_records.pop(pending.job)
         self.dirty_records.pop(pending.job, None)
         self.background_records.pop(pending.job, None)
-        _resolve_waiters(pending, WriteResult.taken_over)
+        _resolve_waiters(pending, result)
 
     async def put(
         self, pending: PendingRecord, *, in_background: bool = False
@@ -183,7 +192,7 @@
         """
         if pending.is_writing or pending.uncertain or pending.revision:
             return False
-        self.close(pending)
+        self.close(pending, WriteResult.withdrawn)
         return True
 
     async def run(self) -> None:
--- a/src/poplardrum/dispatch/stored_jobs.py
+++ b/src/poplardrum/dispatch/stored_jobs.py
@@ -41,7 +41,9 @@
         self.ownership = job_ownership
         self.waiting = waiting
         self.retention_s = retention_s
-        self.creations: dict[ids.JobId, asyncio.Task[None]] = {}
+        self.creations: dict[
+            ids.JobId, asyncio.Task[record_writer.WriteResult]
+        ] = {}
 
     async def submit(
         self,
@@ -69,10 +71,12 @@
         wait_s = min(client_timeout, _MAX_STORE_WAIT_S)
         await asyncio.wait((creation,), timeout=wait_s)
         if creation.done():
+            if creation.result() is record_writer.WriteResult.withdrawn:
+                raise _not_stored()
             return
         pending = job_ownership.writer.open_records.get(job)
         if pending is not None and job_ownership.writer.withdraw(pending):
-            raise _unavailable('the store did not take the job')
+            raise _not_stored()
         raise errors.uncertain_outcome(
             errors.Code.deadline,
             'the store did not answer whether it took the job',
@@ -173,12 +177,15 @@
                 _RETRY_AFTER_S,
             )
 
-    async def _create(self, job: ids.JobId, record: records.Record) -> None:
+    async def _create(
+        self, job: ids.JobId, record: records.Record
+    ) -> record_writer.WriteResult:
         pending = self.ownership.writer.open(job, record)
         result = await self.ownership.writer.put(pending)
         if result is record_writer.WriteResult.committed:
             stored_job = takeover.make_job(job, record, self.ownership)
             self.ownership.take_ownership(stored_job, pending)
+        return result
 
     async def _read_record(self, job: ids.JobId) -> records.Record:
         try:
@@ -191,5 +198,9 @@
         return record
 
 
+def _not_stored() -> errors.PoplardrumError:
+    return _unavailable('the store did not take the job')
+
+
 def _unavailable(message: str) -> errors.PoplardrumError:
     return errors.refusal(errors.Code.unavailable, message, _RETRY_AFTER_S)
--- a/tests/stored_world.py
+++ b/tests/stored_world.py
@@ -47,11 +47,16 @@
         default_factory=list,
     )
     commits: int = 0
+    reads: int = 0
+    # No call is carried out.
+    is_away: bool = False
     max_rows: int = 0
 
     async def get(self, key: str) -> store.StoredValue | None:
         """Return one value."""
         await asyncio.sleep(0)
+        self.reads += 1
+        self._check_present()
         return self.values.get(key)
 
     async def list(self, prefix: str) -> list[store.StoredValue]:
@@ -74,6 +79,7 @@
             change.expected_index is not None for change in changes
         )
         self.max_rows = max(self.max_rows, len(changes) + conditions)
+        self._check_present()
         fault = self.faults.pop(0) if self.faults else ''
         if fault == 'refused':
             raise store.platform_error('busy', may_have_written=False)
@@ -109,6 +115,10 @@
                 )
         return store.CommitResult(self.index)
 
+    def _check_present(self) -> None:
+        if self.is_away:
+            raise store.platform_error('busy', may_have_written=False)
+
     def deliver_delayed(self) -> None:
         """Apply delayed transactions whose conditions still hold."""
         for changes in self.delayed:
