Ask the store whether it is back while no record is left to commit

Cause: a failed commit closes the entry for stored jobs, and only a successful one opened it again. When the only job was withdrawn, nothing was left to commit.

Change: while commits fail and none is left to try again, the writer reads a key each 0.5 s. An answer lets new jobs in.

Ruled out: a trial job (its caller would wait), the reads of the announcement (too rare).

--- a/src/poplardrum/dispatch/record_writer.py
+++ b/src/poplardrum/dispatch/record_writer.py
@@ -26,6 +26,10 @@
 _WRITE_RATE_FRACTION: typing.Final = 0.6
 _MIN_COMMIT_INTERVAL_S: typing.Final = 0.01
 _RETRY_INTERVAL_S: typing.Final = 0.1
+# While commits fail and none is left to try again, the store is asked for a key
+# that no record has.
+_PROBE_INTERVAL_S: typing.Final = 0.5
+_PROBE_KEY: typing.Final = records.JOBS_PREFIX
 
 
 class WriteResult(enum.Enum):
@@ -198,7 +202,7 @@
     async def run(self) -> None:
         """Commit changed records until cancelled."""
         while True:
-            await self.has_dirty_records.wait()
+            await self._wait_for_records()
             group = self._next_group()
             if not group:
                 self.has_dirty_records.clear()
@@ -210,6 +214,32 @@
                 await asyncio.sleep(_RETRY_INTERVAL_S)
             await asyncio.sleep(self.commit_interval)
 
+    async def _wait_for_records(self) -> None:
+        """Wait for a record to commit; find out when the store is back.
+
+        New jobs are refused until then, so no commit of theirs could.
+        """
+        while not (self.store_reachable or self.has_dirty_records.is_set()):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_PROBE_INTERVAL_S):
+                    await self.has_dirty_records.wait()
+                    return
+            await self._probe()
+        await self.has_dirty_records.wait()
+
+    async def _probe(self) -> None:
+        try:
+            await self.store.get(_PROBE_KEY)
+        except errors.PoplardrumError:
+            # `_handle_failure` has logged that the store is unreachable.
+            return
+        self._record_reachable('store answers again')
+
+    def _record_reachable(self, event: str) -> None:
+        if not self.store_reachable:
+            self.store_reachable = True
+            log_events.emit(logger, event)
+
     def _next_group(self) -> list[PendingRecord]:
         in_order = itertools.chain(
             self.dirty_records.values(),
@@ -241,9 +271,7 @@
                 for pending, _, waiters in waiting:
                     pending.waiters = waiters + pending.waiters
                 raise
-        if not self.store_reachable:
-            self.store_reachable = True
-            log_events.emit(logger, 'records committed again')
+        self._record_reachable('records committed again')
         for pending, marker_content, waiters in waiting:
             if result.index:
                 pending.revision = result.index
--- a/tests/test_stored_jobs.py
+++ b/tests/test_stored_jobs.py
@@ -306,6 +306,33 @@
         self.assertEqual(self.started_runs(self.link), [])
         self.assertEqual(self.store.values, {})
 
+    async def test_outage_that_leaves_nothing_to_write(self) -> None:
+        """Guards against an entry that refuses all stored jobs for good.
+
+        The only job was withdrawn, so no commit was tried any more.
+        """
+        self.store.is_away = True
+        self.assertIsNotNone(await self.submit(0.05))
+        self.assertEqual(self.entry.writer.dirty_records, {})
+        self.store.is_away = False
+        await dispatch_world.wait_until(
+            lambda: self.entry.writer.store_reachable
+        )
+        self.assertIsNone(await self.submit(5.0))
+
+    async def test_outage_that_goes_on(self) -> None:
+        """Guards against callers who wait for a store that is known to be away."""
+        self.store.is_away = True
+        self.assertIsNotNone(await self.submit(0.05))
+        reads = self.store.reads
+        started_at = asyncio.get_running_loop().time()
+        for _ in range(20):
+            error = await self.submit(5.0)
+            self.assertTrue(error and stored_world.is_not_run(error))
+        elapsed = asyncio.get_running_loop().time() - started_at
+        # Refused without a call of the store.
+        self.assertLessEqual(self.store.reads - reads, 1 + elapsed // 0.5)
+
     async def test_unanswered_write_is_not_refused(self) -> None:
         """Guards against a refusal of a job that is stored."""
         self.store.faults = ['silent'] + ['refused'] * 5
