Soak: cut an entry from some of its agents and from the store

The check is the one that was there: no start after a run that is done, if its end is acknowledged without a lapse.

One check is corrected: 'start after an acknowledged completion' counted acknowledgements after a lapse of the lease too.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -13,13 +13,14 @@
 
 from poplardrum.dispatch import membership
 from poplardrum.platform import job_api
-from poplardrum.standins import site, worker
+from poplardrum.standins import ports, site, worker
 from tools.soak import (
     callers,
     checks,
     crash_checks,
     evacuation_checks,
     faults,
+    partial_cuts,
     proxy,
 )
 
@@ -39,11 +40,15 @@
 class Soak:
     """A site with callers, fault injection and checks."""
 
-    def __init__(self, seed: int, host: int) -> None:
+    def __init__(
+        self, seed: int, host: int, *, has_cuts_only: bool = False
+    ) -> None:
         """Prepare the site; `host` is the last octet of its first address.
 
-        `seed` initializes all random generators.
+        `seed` initializes all random generators. With `has_cuts_only`, no other
+        faults keep endpoints from work, so that few leases lapse by themselves.
         """
+        self.has_cuts_only = has_cuts_only
         self.random = random.Random(seed)
         self.ledger = checks.Ledger()
         self.site = site.LocalSite(
@@ -66,6 +71,19 @@
             )
             for entry in self.site.entries
         ]
+        store_port = ports.free_ports(1)[0]
+        self.store_proxies = [
+            proxy.Proxy(
+                (_proxy_ip(entry.settings['IpAddress']), store_port),
+                self.site.store_address,
+            )
+            for entry in self.site.entries
+        ]
+        for entry, store_proxy in zip(
+            self.site.entries, self.store_proxies, strict=True
+        ):
+            proxy_ip, _ = store_proxy.listen
+            entry.settings['platform'] = {'Address': f'{proxy_ip}:{store_port}'}
         for agent in self.site.agents:
             agent.settings['SeedNodes'] = [
                 _through_proxy(seed_node)
@@ -101,25 +119,25 @@
             self.faults, random.Random(seed)
         )
 
+        self.partial_cuts = partial_cuts.PartialCuts(
+            self.faults, self.store_proxies, random.Random(seed)
+        )
+
     async def run(self, seconds: float, keep: pathlib.Path | None) -> int:
         """Inject faults for `seconds` and return the number of violations.
 
         Copies the site's folder to `keep` if there are any.
         """
         async with contextlib.AsyncExitStack() as stack:
-            for link_proxy in self.proxies:
-                server = await link_proxy.serve()
+            for each in (*self.proxies, *self.store_proxies):
+                server = await each.serve()
                 stack.callback(server.close)
-                stack.callback(link_proxy.reset)
+                stack.callback(each.reset)
             await stack.enter_async_context(self.site)
             await self._check_entries_serve(_CALLER_COUNT)
             stop_at = time.monotonic() + seconds
             await asyncio.gather(
-                self.faults.run(stop_at),
-                self.long_faults.run(stop_at),
-                self.evacuations.run(stop_at),
-                self._write_configurations(stop_at),
-                self.deadly_caller.submit_deadly_jobs(stop_at),
+                self._inject_faults(stop_at),
                 *(each.run(stop_at + _FAULT_FREE_S) for each in self.callers),
             )
             await self._check_entries_serve(_CALLER_COUNT + 1)
@@ -130,6 +148,19 @@
                 shutil.copytree(self.site.folder, keep, dirs_exist_ok=True)
         return len(self.ledger.violations)
 
+    async def _inject_faults(self, stop_at: float) -> None:
+        if self.has_cuts_only:
+            await self.partial_cuts.run(stop_at)
+            return
+        await asyncio.gather(
+            self.faults.run(stop_at),
+            self.long_faults.run(stop_at),
+            self.partial_cuts.run(stop_at),
+            self.evacuations.run(stop_at),
+            self._write_configurations(stop_at),
+            self.deadly_caller.submit_deadly_jobs(stop_at),
+        )
+
     async def _write_configurations(self, stop_at: float) -> None:
         while time.monotonic() < stop_at:
             self.site.configure()
@@ -228,10 +259,11 @@
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--host', type=int, default=100)
     parser.add_argument('--keep', type=pathlib.Path)
+    parser.add_argument('--cuts-only', action='store_true')
     options = parser.parse_args(arguments)
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
-        soak = Soak(seed, options.host)
+        soak = Soak(seed, options.host, has_cuts_only=options.cuts_only)
         keep = options.keep / str(seed) if options.keep else None
         violations = asyncio.run(soak.run(options.seconds, keep))
         failed += bool(violations)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -167,17 +167,22 @@
 
         The run counts unless the lease lapsed before the acknowledgement.
         """
-        now = time.monotonic()
         for completion_id, run_id in list(self.restarts.items()):
             if completion_id > self.acknowledged_id:
                 continue
             self.restarts.pop(completion_id)
-            done_at = self.done_at[completion_id]
-            if self.lapsed_at < done_at and self.lease_expires_at > now:
+            if not self.has_lapsed_since(self.done_at[completion_id]):
                 self.ledger.record_violation(
                     'start after a run that is done', str(run_id)
                 )
 
+    def has_lapsed_since(self, done_at: float) -> bool:
+        """Return whether the lease has lapsed since a run was done."""
+        return (
+            self.lapsed_at >= done_at
+            or self.lease_expires_at <= time.monotonic()
+        )
+
     def advance(self, now: float) -> None:
         """Complete the runs that are over and record their tasks."""
         super().advance(now)
@@ -190,7 +195,8 @@
     def unacknowledged(self) -> list[leased_endpoint.Completion]:
         """Return unacknowledged completions; record the acknowledged ones.
 
-        Only tasks of stored jobs are recorded.
+        Only tasks of stored jobs are recorded. After a lapse of the lease since
+        its end, a run does not count.
         """
         self.check_restarts()
         self.ledger.acknowledged_tasks |= {
@@ -199,6 +205,7 @@
             if end.outcome == 'done'
             and end.completion_id <= self.acknowledged_id
             and end.run_id.task.partition('.')[0] in self.ledger.stored_jobs
+            and not self.has_lapsed_since(self.done_at[end.completion_id])
         }
         return super().unacknowledged()
 
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import enum
 import typing
 
@@ -25,10 +26,19 @@
     cut_down = 'cut_down'
 
 
+@dataclasses.dataclass
+class _Connection:
+    """A connection, and what its client sent first."""
+
+    greeting: bytes = b''
+
+
 class Proxy:
     """Forwards connections; the bytes of a cut direction wait for its end.
 
-    The streams are closed when the task of their connection ends.
+    Connections of `cut_peers`, whose names are in what they send first, are cut
+    in both directions. The streams are closed when the task of their connection
+    ends.
     """
 
     def __init__(self, listen: ini.Address, target: ini.Address) -> None:
@@ -36,6 +46,7 @@
         self.listen = listen
         self.target = target
         self.mode = LinkMode.open
+        self.cut_peers: frozenset[bytes] = frozenset()
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def serve(self) -> asyncio.Server:
@@ -56,9 +67,10 @@
         with contextlib.suppress(OSError):
             up_reader, up_writer = await asyncio.open_connection(*self.target)
             self.writers.add(up_writer)
+            connection = _Connection()
             await asyncio.gather(
-                self._forward(reader, up_writer, LinkMode.cut_up),
-                self._forward(up_reader, writer, LinkMode.cut_down),
+                self._forward(reader, up_writer, LinkMode.cut_up, connection),
+                self._forward(up_reader, writer, LinkMode.cut_down, connection),
             )
             self.writers.discard(up_writer)
         writer.transport.abort()
@@ -69,11 +81,14 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         cut_mode: LinkMode,
+        connection: _Connection,
     ) -> None:
         with contextlib.suppress(OSError):
             while True:
                 chunk = await reader.read(_CHUNK_BYTES)
-                while self.mode in {LinkMode.cut, cut_mode}:
+                if cut_mode is LinkMode.cut_up and not connection.greeting:
+                    connection.greeting = chunk
+                while self._is_cut(cut_mode, connection):
                     await asyncio.sleep(_POLL_INTERVAL_S)
                 if self.mode is LinkMode.delay:
                     await asyncio.sleep(_DELAY_S)
@@ -82,3 +97,8 @@
                 writer.write(chunk)
                 await writer.drain()
         writer.transport.abort()
+
+    def _is_cut(self, cut_mode: LinkMode, connection: _Connection) -> bool:
+        return self.mode in {LinkMode.cut, cut_mode} or any(
+            name in connection.greeting for name in self.cut_peers
+        )
