--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -4,7 +4,7 @@
 import logging
 import typing
 
-from poplardrum import log_events
+from poplardrum import background, log_events
 from poplardrum.dispatch import (
     clocks,
     commands,
@@ -70,7 +70,7 @@
         self.broadcast_completion: typing.Callable[
             [messages.UnackedCompletion], None
         ] = _ignore_completion
-        self.background_tasks: set[asyncio.Task[object]] = set()
+        self.background = background.Tasks()
 
     def request_report(self) -> None:
         """Request an endpoint report, and a report of the load to entries."""
@@ -114,7 +114,7 @@
                 continue
             run = endpoint_runs.requested_run(session, request, run_id)
             self.runs.add(run)
-            self._spawn(self._start_run(run, request))
+            self.background.spawn(self._start_run(run, request))
         for reason, runs in refused.items():
             session.send(messages.Refused(request.job, runs, reason))
             run_events.log_tasks_refused(
@@ -136,7 +136,7 @@
         """Stop a run; its completion is sent once the endpoint confirms it."""
         if not run.stopping:
             run.stopping = True
-            self._spawn(self.commands.stop(self.endpoint, run))
+            self.background.spawn(self.commands.stop(self.endpoint, run))
 
     def stop_runs_of(self, session: entry_sessions.EntrySession) -> None:
         """Stop all runs of an entry that is gone."""
@@ -245,13 +245,6 @@
             return messages.Refusal.conflict
         return None
 
-    def _spawn(
-        self, coroutine: typing.Coroutine[typing.Any, typing.Any, object]
-    ) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self.background_tasks.add(task)
-        task.add_done_callback(self.background_tasks.discard)
-
     async def _start_run(
         self,
         run: endpoint_runs.Run,
@@ -294,7 +287,9 @@
             self.is_reconciled = not unknown
             self.status_changed.set()
         for listed_run in unknown:
-            self._spawn(self.commands.stop_unknown(self.endpoint, listed_run))
+            self.background.spawn(
+                self.commands.stop_unknown(self.endpoint, listed_run)
+            )
 
     def _resume_lease(self, now: float) -> None:
         """Resume a suspended lease once the cause of its suspension is gone."""
--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -5,7 +5,7 @@
 import logging
 import typing
 
-from poplardrum import ids, log_events
+from poplardrum import background, ids, log_events
 from poplardrum.dispatch import (
     clocks,
     completion_intake,
@@ -62,7 +62,7 @@
         self.records_to_remove: collections.deque[tuple[float, ids.JobId]] = (
             collections.deque()
         )
-        self.background_tasks: set[asyncio.Task[object]] = set()
+        self.background = background.Tasks()
 
     def take_ownership(
         self, job: jobs.Job, pending: record_writer.PendingRecord
@@ -81,7 +81,7 @@
         if outcome is not None and not job.outcome.done():
             job.outcome.set_result(outcome)
         self.coordinator.submit(job)
-        self.spawn(self._await_outcome(owned))
+        self.background.spawn(self._await_outcome(owned))
         return owned
 
     def has_record(self, job: ids.JobId) -> bool:
@@ -91,19 +91,9 @@
         """
         return job in self.owned_jobs or job in self.writer.open_records
 
-    def spawn(
-        self,
-        coroutine: typing.Coroutine[typing.Any, typing.Any, object],
-    ) -> None:
-        """Run a coroutine in the background until `close` cancels it."""
-        task = asyncio.ensure_future(coroutine)
-        self.background_tasks.add(task)
-        task.add_done_callback(self.background_tasks.discard)
-
     def close(self) -> None:
         """Cancel all background tasks."""
-        for task in self.background_tasks:
-            task.cancel()
+        self.background.cancel()
 
     def may_start(self, job: jobs.Job) -> bool:
         """Return whether tasks of a stored job may start now."""
@@ -142,7 +132,7 @@
         """
         for owned in self.owned_jobs.values():
             if owned.is_marker_outdated():
-                self.spawn(self._store(owned, in_background=True))
+                self.background.spawn(self._store(owned, in_background=True))
 
     def count_waiting(self, queue: str) -> int:
         """Return how many jobs of a queue wait here for their first start."""
@@ -185,7 +175,7 @@
                 max_attempts=job.max_attempts,
             )
         if not job.outcome.done():
-            self.spawn(self._commit(owned, key))
+            self.background.spawn(self._commit(owned, key))
 
     def record_given_up(self, job: jobs.Job, task: jobs.Task) -> None:
         """Store that a run was given up, of which no completion is known."""
@@ -194,7 +184,7 @@
             given_up_runs = owned.pending.record.given_up_runs
             given_up_runs[task.index] = task.run_number
             owned.unstored_losses += 1
-            self.spawn(self._store_loss(owned))
+            self.background.spawn(self._store_loss(owned))
 
     def record_crash(
         self, job: jobs.Job, task: int, crash: ids.CrashId
@@ -206,7 +196,7 @@
         crashes = owned.pending.record.crashes.setdefault(task, [])
         if crash not in crashes:
             crashes.append(crash)
-            self.spawn(self._store(owned))
+            self.background.spawn(self._store(owned))
 
     def mark_finished(self, job: ids.JobId, record: records.Record) -> None:
         """Record the state of a finished job; answer its completions."""
--- a/src/poplardrum/dispatch/ownership_validity.py
+++ b/src/poplardrum/dispatch/ownership_validity.py
@@ -64,7 +64,7 @@
         for owned in self.ownership.owned_jobs.values():
             if not (owned.confirmed or owned.is_reclaiming):
                 owned.is_reclaiming = True
-                self.ownership.spawn(self._reclaim(owned))
+                self.ownership.background.spawn(self._reclaim(owned))
 
     async def _reclaim(self, owned: owned_jobs.OwnedJob) -> None:
         """Resume a job if the record still names this entry as its owner."""
--- a/src/poplardrum/dispatch/stored_jobs.py
+++ b/src/poplardrum/dispatch/stored_jobs.py
@@ -160,7 +160,7 @@
             log_events.emit(
                 logger, 'job cancelled through another entry', job=job
             )
-            self.ownership.spawn(self.ownership.cancel(owned))
+            self.ownership.background.spawn(self.ownership.cancel(owned))
 
     def _check_admission(self) -> None:
         if not self.ownership.can_own_jobs():
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -301,8 +301,9 @@
 
     async def stop(self) -> None:
         """Cancel the poller and the executor's background tasks."""
-        for task in (*self.background_tasks, *self.executor.background_tasks):
+        for task in self.background_tasks:
             task.cancel()
+        self.executor.background.cancel()
         await asyncio.gather(*self.background_tasks, return_exceptions=True)
 
     def start_tasks(
--- a/tests/test_run_identity.py
+++ b/tests/test_run_identity.py
@@ -30,7 +30,7 @@
 
     async def wait_for_background_tasks(self) -> None:
         """Wait until all starts and stops are over."""
-        tasks = self.world.executor.background_tasks
+        tasks = self.world.executor.background.running
         await dispatch_world.wait_until(lambda: not tasks)
 
     async def test_refusal_of_an_earlier_run(self) -> None:
