Tell incarnations of an endpoint apart, whatever their time of start

Jobs with a task there stay `running` for good, and the agent takes no more tasks.

Cause: `born`, a time of day, served as the order of incarnations. What the new one sent was dropped as late, and counted as contact all the same.

Change: a report of another incarnation is of a later one if the current one was heard of before its request was sent. A heartbeat with a lower time makes the agent ask, and is used once a report confirms it. Replaced incarnations stay replaced.

--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -155,6 +155,8 @@
         """Apply a heartbeat unless it is outdated."""
         previous = self.status.heartbeat
         if self.status.is_outdated(heartbeat):
+            if self.status.hold_unconfirmed(heartbeat):
+                self.request_report()
             return
         if heartbeat.born > self.status.incarnation:
             self._handle_endpoint_restart(heartbeat.born, heartbeat.clock_ms)
@@ -180,7 +182,7 @@
         `requested_at` and `fencing_token` are those of the request.
         """
         now = clocks.now()
-        if not self._check_incarnation(report, now):
+        if not self._check_incarnation(report, requested_at, now):
             return
         by_name = {run.task_name(): run for run in self.runs.values()}
         for completion in report.completions:
@@ -206,15 +208,21 @@
             for run in self.runs.values():
                 self._complete(run, messages.Outcome.lost, 'lease lapsed')
 
-    def _check_incarnation(self, report: endpoints.Report, now: float) -> bool:
+    def _check_incarnation(
+        self, report: endpoints.Report, requested_at: float, now: float
+    ) -> bool:
         """Return whether a report is not of an earlier incarnation.
 
         Handle a restart if it is of a later one, and update the lease.
         """
-        if report.incarnation < self.status.incarnation:
+        if self.status.is_late(report.incarnation, requested_at):
             return False
-        if report.incarnation > self.status.incarnation:
+        if report.incarnation != self.status.incarnation:
             self._handle_endpoint_restart(report.incarnation, report.clock_ms)
+        confirmed = self.status.take_confirmed()
+        if confirmed is not None:
+            self.observe_heartbeat(confirmed)
+        self.status.heard_at = now
         self.monitor.crashes.record_answer(report.incarnation)
         self.status.confirm_restored()
         self.lease.observe_clock(report.clock_ms, now)
--- a/src/poplardrum/dispatch/polling.py
+++ b/src/poplardrum/dispatch/polling.py
@@ -60,6 +60,7 @@
         return (
             bool(task_executor.runs or task_executor.completions.unacknowledged)
             or has_unsent_ack
+            or task_executor.status.unconfirmed is not None
             or not healthy
         )
 
