Allow for suspensions of the host in the lease of an endpoint

Cause: the agent measured the lease by a clock that counts suspensions, the endpoint's does not count them. The lease counted as lapsed, and later leases were longer than the agent took them for.

Change: the agent checks its clock each 50 ms; by the time by which a check is late, the lease may last longer, and the estimate of the endpoint's clock is lowered.

--- a/src/poplardrum/dispatch/agent_process.py
+++ b/src/poplardrum/dispatch/agent_process.py
@@ -152,6 +152,7 @@
         )
         background_loops: list[tuple[str, lifecycle.BackgroundLoop]] = [
             ('endpoint reports', polling.EndpointPoller(task_executor).run),
+            ('lease clock', task_executor.lease.watch_clock),
             ('load reports', agent_links.reporter.run),
             ('completions', agent_links.resend_completions),
             ('keep-alive', agent_links.keep_alive.run),
--- a/src/poplardrum/dispatch/lease.py
+++ b/src/poplardrum/dispatch/lease.py
@@ -1,10 +1,13 @@
 """Lease on all runs of an endpoint, and its fencing token."""
 
+import asyncio
+import math
 import typing
 
 from poplardrum.dispatch import clocks, timing
 
 _MS_PER_S: typing.Final = 1000
+_CLOCK_CHECK_INTERVAL_S: typing.Final = 0.05
 
 
 class Lease:
@@ -18,6 +21,10 @@
     clock, and the end of the lease that `renew` returns, are in milliseconds
     on the endpoint's steady clock. `clock_offset_ms` is the endpoint's clock
     less this host's.
+
+    The endpoint's clock does not count a suspension of its host, and this
+    process can't tell one from other pauses of itself. So each pause may be time
+    in which the endpoint's clock stood still.
     """
 
     def __init__(self, duration_s: float) -> None:
@@ -30,6 +37,34 @@
         # An earlier process of the agent may have renewed it just before.
         self.renewed_at = clocks.now()
         self.suspended = False
+        # Time after this is one in which this process should have run, and did
+        # not. Pauses are noticed while `watch_clock` runs.
+        self.expected_until = math.inf
+
+    async def watch_clock(self) -> None:
+        """Notice pauses of this process until cancelled."""
+        while True:
+            self.tick(clocks.now())
+            await asyncio.sleep(_CLOCK_CHECK_INTERVAL_S)
+
+    def tick(self, now: float) -> None:
+        """Expect the next tick after the interval of checks."""
+        self.check_clock(now)
+        self.expected_until = now + _CLOCK_CHECK_INTERVAL_S
+
+    def check_clock(self, now: float) -> None:
+        """Allow for a pause of this process since the last tick.
+
+        The lease may last for longer by it, and the endpoint's clock may be
+        behind by it, until a new value of that clock is known.
+        """
+        pause = now - self.expected_until
+        if pause <= 0:
+            return
+        self.expected_until = now
+        self.renewed_at += pause
+        if self.clock_offset_ms is not None:
+            self.clock_offset_ms -= pause * _MS_PER_S
 
     def reset(self, clock_ms: int, now: float) -> None:
         """Start over for a new incarnation of the endpoint.
@@ -53,6 +88,7 @@
         value. `raise_token_after_fencing` handles the other case. A value of 0
         means that the reply had no clock value.
         """
+        self.check_clock(now)
         if not clock_ms:
             return
         offset_ms = clock_ms - now * _MS_PER_S
@@ -88,6 +124,7 @@
         The lease counts as renewed, whether or not the request arrives. Return
         `None` while it is suspended or the clock is unknown.
         """
+        self.check_clock(now)
         offset_ms = self._min_clock_offset_ms(now)
         if self.suspended or offset_ms is None:
             return None
@@ -98,6 +135,7 @@
 
     def has_lapsed(self, now: float) -> bool:
         """Return whether the last renewal has certainly lapsed."""
+        self.check_clock(now)
         return now > self.lapses_at()
 
     def lapses_at(self) -> float:
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -89,10 +89,18 @@
         self.succeeds = True
         self.stalled = False
         self.checkpoints: list[str] = []
+        # How long a client waits for a request that is lost.
+        self.timeout_s = 0.01
+        # How long its host was suspended.
+        self.suspended_s = 0.0
+
+    def now(self) -> float:
+        """Return its steady clock in seconds."""
+        return clocks.now() - self.suspended_s
 
     def clock_ms(self) -> int:
         """Return the endpoint's clock in milliseconds."""
-        return int(clocks.now() * 1000)
+        return int(self.now() * 1000)
 
     async def start(
         self,
@@ -106,7 +114,7 @@
         self.checkpoints.append(start.checkpoint)
 
         def request() -> leased_endpoint.StartResult:
-            now = clocks.now()
+            now = self.now()
             return self.leased.start(
                 leased_endpoint.RunId(start.task, start.run),
                 leased_endpoint.Run(
@@ -144,7 +152,7 @@
             'stop',
             lambda: self.leased.stop(
                 leased_endpoint.RunId(task, run),
-                now=clocks.now(),
+                now=self.now(),
                 token=fencing_token,
             ),
         )
@@ -170,7 +178,7 @@
         answer = await self._carry_out(
             'fetch_report',
             lambda: self.leased.renew_and_acknowledge(
-                now=clocks.now(),
+                now=self.now(),
                 token=fencing_token,
                 acknowledged_id=last_seen,
                 lease_until=None if until_ms is None else until_ms / 1000,
@@ -184,10 +192,10 @@
                 self.clock_ms(),
                 self.incarnation,
             )
-        stop_at = clocks.now() + wait_s
-        while clocks.now() < stop_at and not self.leased.unacknowledged():
+        stop_at = self.now() + wait_s
+        while self.now() < stop_at and not self.leased.unacknowledged():
             await asyncio.sleep(0.002)
-            self.leased.advance(clocks.now())
+            self.leased.advance(self.now())
         return self.report()
 
     def report(self) -> endpoints.Report:
@@ -199,7 +207,7 @@
                 endpoints.ActiveRun(
                     name.task,
                     name.run,
-                    run.progress(clocks.now()),
+                    run.progress(self.now()),
                 )
                 for name, run in self.leased.running.items()
             ],
@@ -229,7 +237,7 @@
         queued = self.faults.get(call)
         fault = queued.pop(0) if queued else self.default_faults.get(call, '')
         if self.unreachable or fault == 'lost':
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.timeout_s)
             return None
         if fault == 'late':
             self.delayed.append(request)
--- a/tools/simulation/processes.py
+++ b/tools/simulation/processes.py
@@ -171,6 +171,7 @@
         )
         for background_loop in (
             polling.EndpointPoller(self.executor).run,
+            self.executor.lease.watch_clock,
             self.agent.reporter.run,
             self.agent.resend_completions,
             self.agent.keep_alive.run,
