Leave runs of earlier owners out of the rate of completed work

A completion that an owner learns of after a takeover was recorded with the time since the host had started as its duration: the rate of completed work was hundreds of cores too high for a while, and refused callers were told to come back too early. Found by reading.

test_duration_of_a_run_of_the_last_owner failed before (1,302 cores in place of 0).

--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -203,12 +203,9 @@
         self, job: jobs.Job, task: jobs.Task, agent: fleet.Agent
     ) -> None:
         task.leave_agent(job.id, jobs.Phase.done)
-        now = asyncio.get_running_loop().time()
-        duration = now - task.placed_at
-        self.deadlines.completion_rate.record(
-            task.step.need.cores() * duration, now
-        )
-        task.normalized_duration = duration / max(agent.slowness, _MIN_SLOWNESS)
+        # The duration of a run that an earlier owner started is not known.
+        if task.latest_start:
+            self._record_duration(task, agent)
         if all(each.phase is jobs.Phase.done for each in job.tasks):
             job.resolve(jobs.JobOutcome.completed)
         elif job.ready_tasks():
@@ -217,6 +214,14 @@
             self.placer.add(job)
             self.placer.schedule()
 
+    def _record_duration(self, task: jobs.Task, agent: fleet.Agent) -> None:
+        now = asyncio.get_running_loop().time()
+        duration = now - task.placed_at
+        self.deadlines.completion_rate.record(
+            task.step.need.cores() * duration, now
+        )
+        task.normalized_duration = duration / max(agent.slowness, _MIN_SLOWNESS)
+
     def _handle_refusal(
         self, agent: fleet.Agent, refusal: messages.Refused
     ) -> None:
--- a/tests/test_stored_completions.py
+++ b/tests/test_stored_completions.py
@@ -157,6 +157,23 @@
         )
         self.assertIs(state, records.State.completed)
 
+    async def test_duration_of_a_run_of_the_last_owner(self) -> None:
+        """Guards against jobs that are told to come back too early.
+
+        The run counted as long as the host had been up, and so did the work
+        that endpoints were taken to complete.
+        """
+        await self.entry.create_owned_job(tasks=1)
+        other = self.start('b')
+        await stored_world.take_over(other)
+        agent, _ = other.connect('side-1', accepting=False)
+        completion = messages.UnackedCompletion(
+            JOB_ID, 0, 0, 1, messages.Outcome.done, messages.CompletionId(1, 1)
+        )
+        other.coordinator.handle_message(agent, completion)
+        rate = other.coordinator.deadlines.completion_rate
+        self.assertAlmostEqual(rate.value(), 0.0)
+
     async def test_last_failure_after_takeover(self) -> None:
         """Guards against a start after all attempts have failed."""
         state = await self.state_after_late_completions(
