Wait for a write that is under way before a job is given up

What callers saw: 504 in place of 503 for a job that the store had refused. `submit` gave up while a write was on its way, whose outcome it did not know.

Change: the last tenth of a second of the caller's wait, at most a quarter of it, is for the answer to that write. If it is a refusal, the record is withdrawn and the caller may go elsewhere; without an answer the outcome stays uncertain.

`test_refused_while_a_write_is_under_way` failed before.

--- a/src/poplardrum/dispatch/record_writer.py
+++ b/src/poplardrum/dispatch/record_writer.py
@@ -26,6 +26,7 @@
 _WRITE_RATE_FRACTION: typing.Final = 0.6
 _MIN_COMMIT_INTERVAL_S: typing.Final = 0.01
 _RETRY_INTERVAL_S: typing.Final = 0.1
+_WRITE_POLL_INTERVAL_S: typing.Final = 0.005
 # While commits fail and none is left to try again, the store is asked for a key
 # that no record has.
 _PROBE_INTERVAL_S: typing.Final = 0.5
@@ -199,6 +200,19 @@
         self.close(pending, WriteResult.withdrawn)
         return True
 
+    async def withdraw_after_write(
+        self, job: ids.JobId, timeout_s: float
+    ) -> None:
+        """Withdraw a record; first wait for a write of it that is under way."""
+        pending = self.open_records.get(job)
+        if pending is None:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while pending.is_writing:
+                    await asyncio.sleep(_WRITE_POLL_INTERVAL_S)
+        self.withdraw(pending)
+
     async def run(self) -> None:
         """Commit changed records until cancelled."""
         while True:
--- a/src/poplardrum/dispatch/stored_jobs.py
+++ b/src/poplardrum/dispatch/stored_jobs.py
@@ -19,6 +19,9 @@
 
 # Longest wait for the store before a caller gets a response.
 _MAX_STORE_WAIT_S: typing.Final = 2.0
+# Part of that wait that is left for the answer to a write that is under way.
+_LAST_ANSWER_S: typing.Final = 0.1
+_LAST_ANSWER_FRACTION: typing.Final = 0.25
 _MAX_OWNED_JOBS: typing.Final = 2000
 _CANCELS_POLL_INTERVAL_S: typing.Final = 0.5
 _REMOVAL_INTERVAL_S: typing.Final = 5.0
@@ -69,14 +72,17 @@
             self.creations[job] = creation
             creation.add_done_callback(lambda _: self.creations.pop(job, None))
         wait_s = min(client_timeout, _MAX_STORE_WAIT_S)
-        await asyncio.wait((creation,), timeout=wait_s)
+        last_answer_s = min(_LAST_ANSWER_S, _LAST_ANSWER_FRACTION * wait_s)
+        await asyncio.wait((creation,), timeout=wait_s - last_answer_s)
+        if not creation.done():
+            writer = job_ownership.writer
+            await writer.withdraw_after_write(job, last_answer_s)
+            # The creation ends in the next iteration of the event loop.
+            await asyncio.sleep(0)
         if creation.done():
             if creation.result() is record_writer.WriteResult.withdrawn:
                 raise _not_stored()
             return
-        pending = job_ownership.writer.open_records.get(job)
-        if pending is not None and job_ownership.writer.withdraw(pending):
-            raise _not_stored()
         raise errors.uncertain_outcome(
             errors.Code.deadline,
             'the store did not answer whether it took the job',
--- a/tests/test_stored_jobs.py
+++ b/tests/test_stored_jobs.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 import unittest
+from unittest import mock
 
 import hypothesis
 from hypothesis import strategies
@@ -283,6 +284,26 @@
         self.assertIsNone(await self.submit(5.0))
         self.assertEqual(self.started_runs(self.link), [1, 1])
 
+    async def test_refused_while_a_write_is_under_way(self) -> None:
+        """Guards against an uncertain outcome of a job that was not stored.
+
+        Its caller's time was over while the store was about to refuse a write.
+        """
+        write_s = 0.012
+
+        async def refuse(_changes: typing.Sequence[store.Change]) -> None:
+            await asyncio.sleep(write_s)
+            raise store.platform_error('busy', may_have_written=False)
+
+        with (
+            mock.patch.object(self.store, 'commit', refuse),
+            mock.patch.object(record_writer, '_RETRY_INTERVAL_S', 0.0),
+        ):
+            for number in range(10):
+                error = await self.submit(0.08 + 0.002 * number)
+                self.assertTrue(error and stored_world.is_not_run(error))
+                self.entry.writer.store_reachable = True
+
     async def test_withdrawn_while_another_caller_waits(self) -> None:
         """Guards against a job that is accepted and not stored.
 
