--- a/src/poplardrum/dispatch/agent_process.py
+++ b/src/poplardrum/dispatch/agent_process.py
@@ -152,7 +152,12 @@
         )
         background_loops: list[tuple[str, lifecycle.BackgroundLoop]] = [
             ('endpoint reports', polling.EndpointPoller(task_executor).run),
-            ('lease clock', task_executor.lease.watch_clock),
+            (
+                'lease clock',
+                functools.partial(
+                    task_executor.lease.watch_clock, task_executor.runs.values
+                ),
+            ),
             ('load reports', agent_links.reporter.run),
             ('completions', agent_links.resend_completions),
             ('keep-alive', agent_links.keep_alive.run),
--- a/src/poplardrum/dispatch/lease.py
+++ b/src/poplardrum/dispatch/lease.py
@@ -7,7 +7,9 @@
 from poplardrum.dispatch import clocks, timing
 
 _MS_PER_S: typing.Final = 1000
+# Intervals of checks for pauses, while there are runs and otherwise.
 _CLOCK_CHECK_INTERVAL_S: typing.Final = 0.05
+_IDLE_CLOCK_CHECK_INTERVAL_S: typing.Final = 0.2
 
 
 class Lease:
@@ -41,16 +43,24 @@
         # not. Pauses are noticed while `watch_clock` runs.
         self.expected_until = math.inf
 
-    async def watch_clock(self) -> None:
-        """Notice pauses of this process until cancelled."""
-        while True:
-            self.tick(clocks.now())
-            await asyncio.sleep(_CLOCK_CHECK_INTERVAL_S)
+    async def watch_clock(self, list_runs: typing.Callable[[], object]) -> None:
+        """Notice pauses of this process until cancelled.
 
-    def tick(self, now: float) -> None:
-        """Expect the next tick after the interval of checks."""
+        `list_runs` returns the runs that need the lease.
+        """
+        while True:
+            interval = (
+                _CLOCK_CHECK_INTERVAL_S
+                if list_runs()
+                else _IDLE_CLOCK_CHECK_INTERVAL_S
+            )
+            self.tick(clocks.now(), interval)
+            await asyncio.sleep(interval)
+
+    def tick(self, now: float, interval: float) -> None:
+        """Expect the next tick after `interval` seconds."""
         self.check_clock(now)
-        self.expected_until = now + _CLOCK_CHECK_INTERVAL_S
+        self.expected_until = now + interval
 
     def check_clock(self, now: float) -> None:
         """Allow for a pause of this process since the last tick.
--- a/tests/test_suspended_hosts.py
+++ b/tests/test_suspended_hosts.py
@@ -50,7 +50,7 @@
         """Let time pass, with the usual checks of the clock."""
         while seconds > 0:
             if self.until_tick <= 0:
-                self.lease.tick(self.now)
+                self.lease.tick(self.now, CHECK_INTERVAL_S)
                 self.until_tick = CHECK_INTERVAL_S
             step = min(seconds, self.until_tick)
             seconds -= step
@@ -103,7 +103,7 @@
         """Guards against a lease that never lapses on a busy host."""
         for _ in range(30):
             self.host.pause_process(2 * CHECK_INTERVAL_S)
-            self.host.lease.tick(self.host.now)
+            self.host.lease.tick(self.host.now, CHECK_INTERVAL_S)
         self.assertTrue(self.host.lease.has_lapsed(self.host.now))
 
     def test_renewed_after_a_suspension(self) -> None:
@@ -171,7 +171,10 @@
         was taken for lost at once.
         """
         endpoint = self.world.endpoint
-        watch = asyncio.ensure_future(self.world.executor.lease.watch_clock())
+        task_executor = self.world.executor
+        watch = asyncio.ensure_future(
+            task_executor.lease.watch_clock(task_executor.runs.values)
+        )
         self.addCleanup(watch.cancel)
         self.world.start_tasks(1)
         await dispatch_world.wait_until(lambda: endpoint.leased.running)
--- a/tools/simulation/processes.py
+++ b/tools/simulation/processes.py
@@ -171,7 +171,9 @@
         )
         for background_loop in (
             polling.EndpointPoller(self.executor).run,
-            self.executor.lease.watch_clock,
+            functools.partial(
+                self.executor.lease.watch_clock, self.executor.runs.values
+            ),
             self.agent.reporter.run,
             self.agent.resend_completions,
             self.agent.keep_alive.run,
