Blame no task for a crash before its start

Cause, by the agent's log: the endpoint started again at 763.949, the next incarnation accepted a run at 764.033, and the agent learned of the restart at 764.053. The run was the only isolated one, so it alone was blamed for the crash; it was the second one of its task.

Change: a run names the incarnation that has accepted it, and is no suspect for the end of another one. test_run_of_the_next_incarnation failed before.

--- a/src/poplardrum/dispatch/commands.py
+++ b/src/poplardrum/dispatch/commands.py
@@ -80,6 +80,7 @@
             if result is endpoints.RequestResult.fenced:
                 self.lease.raise_token_after_fencing(reply.clock_ms)
             elif result is not endpoints.RequestResult.expired:
+                run.incarnation = reply.incarnation
                 return self._handle_start_reply(run, result)
         if not self.gate.is_open():
             return messages.Refusal.not_accepting, 'zone evacuated'
--- a/src/poplardrum/dispatch/crash_watch.py
+++ b/src/poplardrum/dispatch/crash_watch.py
@@ -59,7 +59,12 @@
         suspicion = self.suspicion
         if suspicion is None or suspicion.incarnation != incarnation:
             since = last_contact_at - timing.CRASH_WINDOW_S
-            sent = [run for run in runs if run.started_at]
+            # The next incarnation may have accepted others already.
+            sent = [
+                run
+                for run in runs
+                if run.started_at and run.incarnation in {0, incarnation}
+            ]
             recent = _prime_suspects(
                 [run for run in sent if _has_started_since(run, since)]
             )
--- a/src/poplardrum/dispatch/endpoint_runs.py
+++ b/src/poplardrum/dispatch/endpoint_runs.py
@@ -39,7 +39,8 @@
     at the endpoint. `link` is the connection on which the command to start it
     came, `added_at` when it came. A run `is_isolated` if no other one was to start
     just before and after it. `fencing_token` is that of its last start request.
-    `straggler_reported_at` is when its entry was last notified that the run is
+    `incarnation` is that of the endpoint which has accepted it, 0 if that is not
+    known. `straggler_reported_at` is when its entry was last notified that the run is
     a straggler.
     """
 
@@ -60,6 +61,7 @@
     fencing_token: int = 0
     started_at: float = 0.0
     listed_from: float | None = None
+    incarnation: int = 0
     run_progress: stragglers.RunProgress | None = None
     straggler_reported_at: float = 0.0
 
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -99,6 +99,26 @@
         await dispatch_world.wait_until(lambda: len(self.notices) == 2)
         self.assertEqual(self.states()[-1], messages.CrashState.refuted)
 
+    async def test_run_of_the_next_incarnation(self) -> None:
+        """Guards against a task that is blamed for a crash before its start.
+
+        The next incarnation had accepted it before its agent knew of it.
+        """
+        await self.start_and_wait(JOB_ID)
+        self.world.endpoint.default_faults['fetch_report'] = 'lost'
+        endpoint = self.world.endpoint
+        endpoint.leased = leased_endpoint.LeasedEndpoint(dispatch_world.LEASE_S)
+        endpoint.incarnation += 1
+        await self.start_and_wait(OTHER_JOB)
+        endpoint.default_faults.clear()
+        await dispatch_world.wait_until(lambda: self.notices)
+        blamed = {
+            task.job
+            for notice in self.notices
+            for task in (*notice.tasks, *notice.bystanders)
+        }
+        self.assertEqual(blamed, {JOB_ID})
+
     async def test_planned_end(self) -> None:
         """Guards against an endpoint that drained and left counting as crashed."""
         await self.start_and_wait(JOB_ID)
