Answer a completion of a finished job only once its record is stored

Had the entry died before the commit, the next owner would have started the task again (TWICE).

test_completion_of_its_last_run failed before ([5] in place of []).

--- a/src/poplardrum/dispatch/completion_intake.py
+++ b/src/poplardrum/dispatch/completion_intake.py
@@ -33,14 +33,19 @@
         message: messages.UnackedCompletion,
         owned: owned_jobs.OwnedJob | None,
     ) -> None:
-        """Handle a completion; its job is `owned` by this entry, or not."""
+        """Handle a completion; its job is `owned` by this entry, or not.
+
+        If the job is over and its record not stored yet, the completion is
+        answered once it is.
+        """
         self.unclaimed.add(agent, message)
         if owned is None:
             self.unclaimed.request_look_up(message.job)
-        else:
+        elif not owned.pending.record.is_over():
             self.apply_unclaimed(owned)
 
     def apply_unclaimed(self, owned: owned_jobs.OwnedJob) -> None:
+        """Apply the completions that were kept for a job."""
         for agent, message in self.unclaimed.pop(owned.job.id):
             self._apply_completion(owned, agent, message)
 
--- a/tests/test_overtaken_completions.py
+++ b/tests/test_overtaken_completions.py
@@ -190,6 +190,29 @@
         await self.assert_acknowledged(self.link_again(completion_of(2)))
 
 
+class TestUnstoredOutcome(stored_world.StoredCase):
+    """A job is over, and its record is not stored yet."""
+
+    async def test_completion_of_its_last_run(self) -> None:
+        """Guards against an end that is noted, and that no record has.
+
+        The next owner would start the task again.
+        """
+        owned = await self.entry.create_owned_job(tasks=1)
+        await dispatch_world.wait_until(lambda: self.started_runs(self.link))
+        self.store.is_away = True
+        cancelling = asyncio.ensure_future(self.entry.ownership.cancel(owned))
+        await dispatch_world.wait_until(owned.pending.record.is_over)
+        self.entry.coordinator.handle_message(self.agent, completion_of(1))
+        await asyncio.sleep(0.02)
+        self.assertEqual(stored_world.acknowledged_numbers(self.link), [])
+        self.store.is_away = False
+        self.assertTrue(await cancelling)
+        await dispatch_world.wait_until(
+            lambda: stored_world.acknowledged_numbers(self.link)
+        )
+
+
 class TestNextOwners(OvertakenCase):
     """The owner is lost as well, before or after the second start."""
 
