--- a/tests/submission_fleet.py
+++ b/tests/submission_fleet.py
@@ -35,6 +35,8 @@
     def setUpClass(cls) -> None:
         """Start the fleet."""
         cls.stack = contextlib.ExitStack()
+        # Also if the set-up fails.
+        cls.addClassCleanup(cls.stack.close)
         directory = cls.stack.enter_context(tempfile.TemporaryDirectory())
         cls.fleet = fleet.Fleet(cls.plan, pathlib.Path(directory))
         cls.stack.callback(cls.fleet.stop)
@@ -43,11 +45,6 @@
         )
         cls.fleet.start(RULES)
 
-    @classmethod
-    def tearDownClass(cls) -> None:
-        """Stop the fleet."""
-        cls.stack.close()
-
     def setUp(self) -> None:
         """Wait until all processes run and know each other."""
         self.heal()
--- a/tests/test_admission_entry.py
+++ b/tests/test_admission_entry.py
@@ -28,17 +28,14 @@
     def setUpClass(cls) -> None:
         """Start an entry and two agents."""
         cls.stack = contextlib.ExitStack()
+        # Also if the set-up fails.
+        cls.addClassCleanup(cls.stack.close)
         directory = cls.stack.enter_context(tempfile.TemporaryDirectory())
         plan = fleet.Plan((fleet.WorkerPlan(), fleet.WorkerPlan()))
         cls.fleet = fleet.Fleet(plan, pathlib.Path(directory))
         cls.stack.callback(cls.fleet.stop)
         cls.fleet.start(RULES)
 
-    @classmethod
-    def tearDownClass(cls) -> None:
-        """Stop all processes."""
-        cls.stack.close()
-
     def submit(self, key: str, count: int, *, first: bool = True) -> Reply:
         """Submit a job of tasks of two seconds."""
         payload = json.dumps({'seconds': 2})
--- a/tests/test_binary.py
+++ b/tests/test_binary.py
@@ -29,6 +29,8 @@
     def setUpClass(cls) -> None:
         """Build the binary once for all tests, into a temporary folder."""
         cls.stack = contextlib.ExitStack()
+        # Also if the set-up fails.
+        cls.addClassCleanup(cls.stack.close)
         cls.folder = pathlib.Path(
             cls.stack.enter_context(tempfile.TemporaryDirectory()),
         )
@@ -43,11 +45,6 @@
         }
         build_binary.build(cls.binary)
 
-    @classmethod
-    def tearDownClass(cls) -> None:
-        """Remove the temporary folder."""
-        cls.stack.close()
-
     def test_version(self) -> None:
         """Guards against a binary that does not start or is too large."""
         done = subprocess.run(
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -159,6 +159,8 @@
     def setUpClass(cls) -> None:
         """Start one entry and one agent with small limits."""
         cls.stack = contextlib.ExitStack()
+        # Also if the set-up fails.
+        cls.addClassCleanup(cls.stack.close)
         directory = cls.stack.enter_context(tempfile.TemporaryDirectory())
         plan = fleet.Plan(
             (fleet.WorkerPlan(),),
@@ -169,11 +171,6 @@
         cls.stack.callback(cls.fleet.stop)
         cls.fleet.start(RULES)
 
-    @classmethod
-    def tearDownClass(cls) -> None:
-        """Stop all processes."""
-        cls.stack.close()
-
     def call(self, case: Case) -> tuple[int, typing.Any]:
         """Send the request of a case."""
         content = case.body
--- a/tests/test_configuration_apply.py
+++ b/tests/test_configuration_apply.py
@@ -26,17 +26,14 @@
     def setUpClass(cls) -> None:
         """Start two entries and one agent."""
         cls.stack = contextlib.ExitStack()
+        # Also if the set-up fails.
+        cls.addClassCleanup(cls.stack.close)
         directory = cls.stack.enter_context(tempfile.TemporaryDirectory())
         plan = fleet.Plan((fleet.WorkerPlan(),))
         cls.fleet = fleet.Fleet(plan, pathlib.Path(directory))
         cls.stack.callback(cls.fleet.stop)
         cls.fleet.start({'10-tenants.ini': TENANT})
 
-    @classmethod
-    def tearDownClass(cls) -> None:
-        """Stop all processes."""
-        cls.stack.close()
-
     def setUp(self) -> None:
         """Apply a folder with one file, so that only this file is stored."""
         self.folder = self.new_folder()
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -29,6 +29,8 @@
     def setUpClass(cls) -> None:
         """Start two entries and two agents."""
         cls.stack = contextlib.ExitStack()
+        # Also if the set-up fails.
+        cls.addClassCleanup(cls.stack.close)
         directory = cls.stack.enter_context(tempfile.TemporaryDirectory())
         cls.fleet = fleet.Fleet(PLAN, pathlib.Path(directory))
         cls.stack.callback(cls.fleet.stop)
@@ -37,11 +39,6 @@
 
     counter: int
 
-    @classmethod
-    def tearDownClass(cls) -> None:
-        """Stop all processes."""
-        cls.stack.close()
-
     def setUp(self) -> None:
         """End the faults of the previous test and wait until all recover."""
         self.end_faults()
--- a/tests/test_execution_faults.py
+++ b/tests/test_execution_faults.py
@@ -58,6 +58,8 @@
     def setUpClass(cls) -> None:
         """Start one entry and three agents with two slots each."""
         cls.stack = contextlib.ExitStack()
+        # Also if the set-up fails.
+        cls.addClassCleanup(cls.stack.close)
         directory = cls.stack.enter_context(tempfile.TemporaryDirectory())
         workers = (fleet.WorkerPlan(slots=SLOTS),) * WORKERS
         cls.system = fleet.Fleet(
@@ -77,11 +79,6 @@
         if process.popen is not None:
             process.kill()
 
-    @classmethod
-    def tearDownClass(cls) -> None:
-        """Kill all processes."""
-        cls.stack.close()
-
     def tearDown(self) -> None:
         """Check that no task started twice and no endpoint had too many."""
         duplicates = {
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -44,17 +44,14 @@
     def setUpClass(cls) -> None:
         """Start two entries and three agents of different speed."""
         cls.stack = contextlib.ExitStack()
+        # Also if the set-up fails.
+        cls.addClassCleanup(cls.stack.close)
         directory = cls.stack.enter_context(tempfile.TemporaryDirectory())
         workers = tuple(fleet.WorkerPlan(speed=speed) for speed in (1, 2, 4))
         cls.fleet = fleet.Fleet(fleet.Plan(workers), pathlib.Path(directory))
         cls.stack.callback(cls.fleet.stop)
         cls.fleet.start(RULES)
 
-    @classmethod
-    def tearDownClass(cls) -> None:
-        """Stop all processes."""
-        cls.stack.close()
-
     def submit(
         self,
         body: typing.Any,
