--- a/bench/policy_short_room.py
+++ b/bench/policy_short_room.py
@@ -10,9 +10,9 @@
 import dataclasses
 import math
 import random
-import selectors
 import typing
 
+from bench import model_loop
 from poplardrum import errors, ids
 from poplardrum.dispatch import (
     admission,
@@ -60,35 +60,6 @@
 )
 
 
-class _InstantSelector(selectors.SelectSelector):
-    """Wait for no time; the loop's clock jumps instead."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.now = 0.0
-
-    def select(
-        self, timeout: float | None = None
-    ) -> list[tuple[selectors.SelectorKey, int]]:
-        """Return what is ready now."""
-        if timeout:
-            self.now += timeout
-        return super().select(0)
-
-
-class ModelLoop(asyncio.SelectorEventLoop):
-    """Event loop whose clock jumps to the next timer."""
-
-    def __init__(self) -> None:
-        """Start at time 0."""
-        self.instant_selector = _InstantSelector()
-        super().__init__(self.instant_selector)
-
-    def time(self) -> float:
-        """Return the time of the model in seconds."""
-        return self.instant_selector.now
-
-
 @dataclasses.dataclass(eq=False)
 class Link:
     """The link of one entry to one endpoint."""
@@ -408,7 +379,7 @@
 
 def run(scenario: Scenario, *, is_short: bool) -> list[ModelJob]:
     """Play a scenario on a clock of its own."""
-    loop = ModelLoop()
+    loop = model_loop.ModelLoop()
     earlier = clocks.now
     clocks.now = loop.time
     try:
--- a/tests/test_overtaken_at_agents.py
+++ b/tests/test_overtaken_at_agents.py
@@ -80,31 +80,31 @@
             messages.CompletionsOvertaken([self.completion_id])
         )
 
-    def is_noted(self) -> bool:
+    def is_dropped(self) -> bool:
         """Return whether the endpoint has dropped the completion."""
         return bool(self.leased.acknowledged_id >= self.completion_id.number)
 
-    async def wait_until_noted(self) -> None:
-        """Wait for the acknowledgement; check that the lease lapsed before."""
-        await dispatch_world.wait_until(self.is_noted)
+    async def wait_until_dropped(self) -> None:
+        """Wait until it is dropped; check that the lease lapsed before."""
+        await dispatch_world.wait_until(self.is_dropped)
         self.assertTrue(self.watch.has_lapsed_since(self.ended_at))
 
 
 class TestIdleEndpoint(OvertakenCase):
     """Nothing runs beside the completion."""
 
-    async def test_noted_after_the_lapse(self) -> None:
-        """Guards against an end that is noted as if it had been recorded."""
+    async def test_dropped_after_the_lapse(self) -> None:
+        """Guards against a completion that is dropped as if it had been recorded."""
         self.reject()
         await dispatch_world.wait_until(
             lambda: not self.executor.is_accepting()
         )
-        await self.wait_until_noted()
+        await self.wait_until_dropped()
 
     async def test_accepts_again(self) -> None:
         """Guards against an agent that takes no more tasks."""
         self.reject()
-        await self.wait_until_noted()
+        await self.wait_until_dropped()
         await dispatch_world.wait_until(self.executor.is_accepting)
 
     async def test_acknowledged_by_another_entry(self) -> None:
@@ -113,7 +113,7 @@
         self.entry.links[-1].send(
             messages.CompletionsAcknowledged([self.completion_id])
         )
-        await self.wait_until_noted()
+        await self.wait_until_dropped()
 
     async def test_is_not_sent_again(self) -> None:
         """Guards against an answered completion that is sent for ever."""
@@ -154,9 +154,9 @@
     neighbours = 2
 
     async def test_neighbours_end_with_the_lease(self) -> None:
-        """Guards against ends that are never noted while others run."""
+        """Guards against completions that are never dropped while others run."""
         self.reject()
-        await self.wait_until_noted()
+        await self.wait_until_dropped()
         self.assertEqual(
             self.world.outcomes(), [messages.Outcome.lost] * self.neighbours
         )
@@ -166,7 +166,7 @@
         self.entry.links[-1].send(
             messages.CompletionsAcknowledged([self.completion_id])
         )
-        await dispatch_world.wait_until(self.is_noted)
+        await dispatch_world.wait_until(self.is_dropped)
         self.assertEqual(self.world.outcomes(), [])
         self.assertTrue(self.executor.is_accepting())
 
@@ -181,7 +181,7 @@
         """Guards against work that is lost though it was nearly done."""
         with mock.patch.object(completion_discard, '_MAX_DRAIN_S', 10.0):
             self.reject()
-            await self.wait_until_noted()
+            await self.wait_until_dropped()
         self.assertEqual(
             self.world.outcomes(), [messages.Outcome.done] * self.neighbours
         )
--- a/tests/test_overtaken_completions.py
+++ b/tests/test_overtaken_completions.py
@@ -1,6 +1,6 @@
 """Completions of runs after which their tasks have started again.
 
-RULES of the users' platform: no start after a run that is done, if its end is
+No task may start after a run of it that is done, if the completion of that run is
 acknowledged without a lapse of the lease in between.
 """
 
@@ -194,7 +194,7 @@
     """A job is over, and its record is not stored yet."""
 
     async def test_completion_of_its_last_run(self) -> None:
-        """Guards against an end that is noted, and that no record has.
+        """Guards against an acknowledged completion that no record has.
 
         The next owner would start the task again.
         """
--- a/tests/test_overtaken_sweep.py
+++ b/tests/test_overtaken_sweep.py
@@ -27,12 +27,12 @@
     run: messages.RunId
     outcome: messages.Outcome
     at: int
-    is_noted: bool = False
+    is_dropped: bool = False
     has_lapsed: bool = False
 
     def counts(self) -> bool:
-        """Return whether the platform takes it for noted."""
-        return self.is_noted and not self.has_lapsed
+        """Return whether it was dropped without a lapse of the lease."""
+        return self.is_dropped and not self.has_lapsed
 
 
 class Endpoint:
@@ -55,7 +55,7 @@
         return [
             (number, end)
             for number, end in enumerate(self.ends, start=1)
-            if not end.is_noted
+            if not end.is_dropped
             and end.outcome in {messages.Outcome.done, messages.Outcome.failed}
         ]
 
@@ -123,9 +123,9 @@
                 for run in message.runs:
                     self.end_run(endpoint, run, messages.Outcome.stopped)
             case messages.CompletionsAcknowledged():
-                self.note(endpoint, message.completion_ids, lapse=False)
+                self.drop(endpoint, message.completion_ids, lapse=False)
             case messages.CompletionsOvertaken():
-                self.note(endpoint, message.completion_ids, lapse=True)
+                self.drop(endpoint, message.completion_ids, lapse=True)
 
     def start(self, endpoint: Endpoint, run: messages.RunId) -> None:
         """Start a run or refuse it."""
@@ -173,7 +173,7 @@
             ),
         )
 
-    def note(
+    def drop(
         self,
         endpoint: Endpoint,
         completion_ids: list[messages.CompletionId],
@@ -183,8 +183,8 @@
         """Drop ends, after a lapse of the lease or without one."""
         for completion_id in completion_ids:
             end = endpoint.ends[completion_id.number - 1]
-            if not end.is_noted:
-                end.is_noted = True
+            if not end.is_dropped:
+                end.is_dropped = True
                 end.has_lapsed = lapse
         if lapse:
             self.lapse(endpoint)
@@ -192,7 +192,7 @@
     def lapse(self, endpoint: Endpoint) -> None:
         """End all runs of an endpoint."""
         for end in endpoint.ends:
-            end.has_lapsed = end.has_lapsed or not end.is_noted
+            end.has_lapsed = end.has_lapsed or not end.is_dropped
         for run in list(endpoint.running):
             self.end_run(endpoint, run, messages.Outcome.lost)
 
@@ -275,7 +275,7 @@
         await stored_world.take_over(self.entry)
 
     async def conclude(self) -> None:
-        """Link all agents until the job is over and all ends are noted."""
+        """Link all agents until the job is over and all ends are dropped."""
         for _ in range(200):
             for endpoint in self.endpoints:
                 self.link(endpoint)
@@ -310,7 +310,7 @@
     """Losses in any order, with each answer that the owner gives."""
 
     async def test_seeds(self) -> None:
-        """Guards against starts after an end that is noted, and lost ends."""
+        """Guards against starts after an acknowledged completion, and lost ones."""
         overtaken = 0
         for seed in SEEDS:
             self.store = stored_world.MemoryStore()
