--- /dev/null
+++ b/review/stand_ins_3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the third review: platform store, workers, machines, clients."""
