--- a/review/stand_ins_3/store.py
+++ b/review/stand_ins_3/store.py
@@ -54,9 +54,8 @@
         self.machines: dict[int, str] = {}
         # Machines that are turned away, and how: reset, silent or busy.
         self.turned_away: dict[str, str] = {}
-        # When each machine last had an answer to a read of its announcement.
         self.runner: web.AppRunner | None = None
-        # Writes of these machines under a key prefix that are carried out late.
+        # Calls that were answered: when, machine, method and path.
         self.calls: list[tuple[float, str, str, str]] = []
 
     async def start(self, addresses: dict[str, tuple[str, int]]) -> None:
@@ -95,6 +94,16 @@
                 [], [k for k, item in self.items.items() if item.lease in owned]
             )
 
+    def cut(self, machine: str) -> None:
+        """Partition a machine from the store, silently: no call gets through."""
+        self.turned_away[machine] = 'silent'
+        self.case.add('network', f'cuts {machine} off from the store')
+
+    def heal(self, machine: str) -> None:
+        """End the partition of a machine from the store."""
+        self.turned_away.pop(machine, None)
+        self.case.add('network', f'{machine} reaches the store again')
+
     def serve_again(self, machine: str) -> None:
         """Serve a machine again."""
         self.turned_away.pop(machine, None)
