--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,84 +1,92 @@
-"""Tasks of a cancelled job start long after the cancel was acknowledged."""
+"""A replayed refusal of an earlier attempt starts a task that is running."""
 
 import asyncio
+import contextlib
 import json
 import pathlib
+import random
+import signal
+import socket
+import struct
 
 from stand_ins_3 import case, deployment
 
 SIDES = 11
-JOBS = 3
-# Steps that follow one another, of one short task each.
-STEPS = 16
-WORK_MS = 400
-# One machine is partitioned from the store.
-CUT_S = 5.5
-# Bound of the site.
-CANCEL_S = 3.0
-ROUNDS = 6
+JOBS = 30
+TASKS = 2
+WORK_MS = 1800
+# One worker of eleven answers starts with 503 for a while.
+SHED_S = 2.0
+# So many of the entry's connections are reset.
+RESET_SHARE = 0.5
+RESEND_S = 1.3
+FREEZE_S = 0.75
+# The same disruptions come again until a task has run twice.
+ROUNDS = 14
 
 
 def create() -> deployment.Deployment:
     return deployment.Deployment(3, SIDES)
 
 
-async def _submit(site: deployment.Deployment) -> str:
-    job = deployment.job_id()
-    body = {
-        'Specification': json.dumps({'work_ms': WORK_MS}),
-        'Steps': [
+class Submission:
+    """A client's request on a connection of its own."""
+
+    def __init__(self, site: deployment.Deployment, job: str) -> None:
+        self.site = site
+        self.job = job
+        self.writer: asyncio.StreamWriter | None = None
+        self.status = 0
+
+    async def send(self) -> None:
+        """Send the job to the first entry and wait for the response."""
+        site = self.site
+        body = json.dumps(
             {
-                'Count': 1,
-                'Cpu': 1600,
-                'RequestedMemoryMb': 64,
-                'EstimatedMs': WORK_MS,
+                'Specification': json.dumps({'work_ms': WORK_MS}),
+                'BestEffort': True,
+                'Steps': [
+                    {
+                        'Count': TASKS,
+                        'Cpu': 1600,
+                        'RequestedMemoryMb': 64,
+                        'EstimatedMs': WORK_MS,
+                    }
+                ],
             }
-            | ({'After': [number - 1]} if number else {})
-            for number in range(STEPS)
-        ],
-    }
-    status, _ = await site.call(0, 'POST', job, body)
-    if status // 100 != 2:
-        raise case.CannotRunError('a job was not accepted')
-    return job
-
+        )
+        host = site.entries[0].settings['IpAddress']
+        self.status = 0
+        site.case.add('client', f'POST {self.job} to {site.entries[0].name}')
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            reader, self.writer = await asyncio.open_connection(
+                host, site.front_port
+            )
+            self.writer.write(
+                f'POST {deployment.PREFIX}{self.job} HTTP/1.1\r\n'
+                f'Host: {deployment.HOST}\r\n'
+                'Content-Type: application/json\r\n'
+                'Poplardrum-Deadline-Milliseconds: 8000\r\n'
+                f'Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+            )
+            head = await reader.readuntil(b'\r\n\r\n')
+            self.status = int(head.split()[1])
+            self.writer.close()
+        site.case.add('client', f'POST {self.job}: {self.status or "broken"}')
 
-async def _round(site: deployment.Deployment, trouble: bool) -> str | None:
-    owner = site.entries[0]
-    jobs = [await _submit(site) for _ in range(JOBS)]
-    await asyncio.sleep(0.2)
-    cut_at = site.case.now()
-    if trouble:
-        site.store.cut(owner.name)
-    acknowledged = {}
-    for job in jobs:
-        status, _ = await site.call(1, 'DELETE', job)
-        if status not in {200, 410}:
-            raise case.CannotRunError('a cancel was not acknowledged')
-        acknowledged[job] = site.case.now()
-    await asyncio.sleep(max(cut_at + CUT_S - site.case.now(), 0))
-    if trouble:
-        site.store.heal(owner.name)
-    await asyncio.sleep(3)
-    late = [
-        (run, run.started_at - acknowledged[job])
-        for job in jobs
-        for run in site.case.runs
-        if run.task.startswith(job)
-        and run.started_at > acknowledged[job] + CANCEL_S
-    ]
-    if not late:
-        return None
-    run, after = max(late, key=lambda found: found[1])
-    return (
-        f'UNASKED: {len(late)} tasks of cancelled jobs were started later than '
-        f'{CANCEL_S:g} s after the acknowledgement; {run.task} run {run.number} '
-        f'at {run.worker} {after:.2f} s after it'
-    )
+    def reset(self) -> None:
+        """Reset the connection; both ends see it break."""
+        assert self.writer is not None
+        self.site.case.add('network', f'resets the connection of {self.job}')
+        sock = self.writer.get_extra_info('socket')
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        self.writer.transport.abort()
 
 
 async def play(site: deployment.Deployment, trouble: bool) -> str | None:
-    for _ in range(ROUNDS if trouble else 2):
+    for _ in range(ROUNDS):
         broken = await _round(site, trouble)
         if broken:
             return broken
@@ -86,4 +94,44 @@
     return None
 
 
+async def _round(site: deployment.Deployment, trouble: bool) -> str | None:
+    entry = site.entries[0]
+    # A worker in the zone of the entry.
+    grey = site.workers[0]
+    grey.sheds = trouble
+    if trouble:
+        site.case.add(grey.name, 'is unhealthy: answers starts with 503')
+    submissions = [Submission(site, deployment.job_id()) for _ in range(JOBS)]
+    waits = {each: asyncio.ensure_future(each.send()) for each in submissions}
+    if trouble:
+        await asyncio.sleep(0.5)
+        broken = random.sample(submissions, round(RESET_SHARE * JOBS))
+        for each in broken:
+            each.reset()
+        await asyncio.sleep(RESEND_S)
+        grey.sheds = False
+        site.case.add(grey.name, 'is healthy again')
+        await asyncio.sleep(max(SHED_S - 0.5 - RESEND_S, 0))
+        for each in broken:
+            waits[each] = asyncio.ensure_future(each.send())
+        await asyncio.sleep(0.5)
+        entry.signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        entry.signal(signal.SIGCONT)
+    await asyncio.gather(*waits.values())
+    if not all(each.status == 200 for each in submissions):
+        site.case.add('client', 'not all jobs were answered with 200')
+    overlaps = [
+        found for each in submissions for found in site.case.overlaps(each.job)
+    ]
+    if not overlaps:
+        return None
+    first, second, shared = max(overlaps, key=lambda found: found[2])
+    return (
+        f'TWICE: {len(overlaps)} tasks ran twice at the same time; {first.task}: '
+        f'run {first.number} at {first.worker} and run {second.number} at '
+        f'{second.worker}, for {1000 * shared:.0f} ms'
+    )
+
+
 case.main(pathlib.Path(__file__).parent, create, play)
