--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")"
+root=$(cd ../.. && pwd)
+PYTHONPATH="$root/target/review-3:$root/target/deps" PYTHONDONTWRITEBYTECODE=1 \
+  exec python3 -S case.py
--- a/review/stand_ins_3/worker.py
+++ b/review/stand_ins_3/worker.py
@@ -89,6 +89,9 @@
         self.runner: web.AppRunner | None = None
         self.transports: set[asyncio.BaseTransport] = set()
         self.tasks: list[asyncio.Future[None]] = []
+        # Set unless its machine is suspended; then its clock stands still too.
+        self.is_awake = asyncio.Event()
+        self.is_awake.set()
         # While set, the worker is unhealthy: it answers starts with 503.
         self.sheds = False
         # Share of the orders (starts and stops) that get no answer and are carried
@@ -115,6 +118,25 @@
             asyncio.ensure_future(self._beat(self.life)),
         ]
 
+    async def suspend(self, seconds: float) -> None:
+        """Stand still; the worker's steady clock doesn't count the time."""
+        life = self.life
+        assert life is not None
+        self._advance(life)
+        self.is_awake.clear()
+        self.case.add(self.name, f'is suspended, life {self.lives}')
+        began_at = time.monotonic()
+        await asyncio.sleep(seconds)
+        pause = time.monotonic() - began_at
+        life.clock_origin += pause
+        life.lease_until += pause
+        for work in life.running.values():
+            work.ends_at += pause
+            if work.stops_at is not None:
+                work.stops_at += pause
+        self.case.add(self.name, 'is back')
+        self.is_awake.set()
+
     async def crash(self) -> None:
         """End a life at once."""
         life, self.life = self.life, None
@@ -154,6 +176,8 @@
             self._advance(life)
 
     def _advance(self, life: Life) -> None:
+        if not self.is_awake.is_set():
+            return
         now = time.monotonic()
         for work in list(life.running.values()):
             if work.ends_at <= now:
@@ -169,6 +193,7 @@
         timeout = aiohttp.ClientTimeout(total=1)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
+                await self.is_awake.wait()
                 life.sequence += 1
                 acknowledged = False
                 with contextlib.suppress(aiohttp.ClientError, TimeoutError):
@@ -237,6 +262,7 @@
 
         async def handle(request: web.Request) -> web.Response:
             body = await request.json()
+            await self.is_awake.wait()
             life = self._enter(request)
             if random.random() >= self.late_share:
                 return carry_out(life, body)
@@ -300,6 +326,7 @@
 
     async def _hold(self, request: web.Request) -> web.Response:
         body = await request.json()
+        await self.is_awake.wait()
         life = self._enter(request)
         if not self._accepts(life, body):
             return self._reply(life, {'Reason': 'fence'}, 409)
@@ -313,8 +340,10 @@
                 await asyncio.wait_for(
                     life.ended.wait(), max(deadline - time.monotonic(), 0)
                 )
+            await self.is_awake.wait()
             if self.life is not life:
                 raise asyncio.CancelledError
+        self._advance(life)
         now = time.monotonic()
         return self._reply(
             life,
