--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,86 +1,137 @@
-"""Tasks run twice after the machine of their worker was suspended."""
+"""A replayed refusal of an earlier attempt starts a task that is running."""
 
 import asyncio
+import contextlib
 import json
 import pathlib
+import random
 import signal
+import socket
+import struct
 
 from stand_ins_3 import case, deployment
 
 SIDES = 11
-JOBS = 22
+JOBS = 30
 TASKS = 2
-WORK_MS = 5000
-# One machine is suspended: its agent and its worker with its steady clock.
-SUSPENDED_S = 3.5
-ROUNDS = 5
+WORK_MS = 1800
+# One worker of eleven answers starts with 503 for a while.
+SHED_S = 2.0
+# So many of the entry's connections are reset.
+RESET_SHARE = 0.5
+RESEND_S = 1.3
+FREEZE_S = 0.75
+# The same disruptions come again until a task has run twice.
+ROUNDS = 14
 
 
 def create() -> deployment.Deployment:
     return deployment.Deployment(3, SIDES)
 
 
-async def _submit(site: deployment.Deployment, entry: int) -> str:
-    job = deployment.job_id()
-    body = {
-        'Specification': json.dumps({'work_ms': WORK_MS}),
-        'Steps': [
+class Submission:
+    """A client's request on a connection of its own."""
+
+    def __init__(self, site: deployment.Deployment, job: str) -> None:
+        self.site = site
+        self.job = job
+        self.writer: asyncio.StreamWriter | None = None
+        self.status = 0
+
+    async def send(self) -> None:
+        """Send the job to the first entry and wait for the response."""
+        site = self.site
+        body = json.dumps(
             {
-                'Count': TASKS,
-                'Cpu': 1600,
-                'RequestedMemoryMb': 64,
-                'EstimatedMs': WORK_MS,
+                'Specification': json.dumps({'work_ms': WORK_MS}),
+                'BestEffort': True,
+                'Steps': [
+                    {
+                        'Count': TASKS,
+                        'Cpu': 1600,
+                        'RequestedMemoryMb': 64,
+                        'EstimatedMs': WORK_MS,
+                    }
+                ],
             }
-        ],
-    }
-    status, _ = await site.call(entry, 'POST', job, body)
-    if status // 100 != 2:
-        raise case.CannotRunError('a job was not accepted')
-    return job
+        )
+        host = site.entries[0].settings['IpAddress']
+        self.status = 0
+        site.case.add('client', f'POST {self.job} to {site.entries[0].name}')
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            reader, self.writer = await asyncio.open_connection(
+                host, site.front_port
+            )
+            self.writer.write(
+                f'POST {deployment.PREFIX}{self.job} HTTP/1.1\r\n'
+                f'Host: {deployment.HOST}\r\n'
+                'Content-Type: application/json\r\n'
+                'Poplardrum-Deadline-Milliseconds: 8000\r\n'
+                f'Content-Length: {len(body)}\r\n\r\n{body}'.encode()
+            )
+            head = await reader.readuntil(b'\r\n\r\n')
+            self.status = int(head.split()[1])
+            self.writer.close()
+        site.case.add('client', f'POST {self.job}: {self.status or "broken"}')
+
+    def reset(self) -> None:
+        """Reset the connection; both ends see it break."""
+        assert self.writer is not None
+        self.site.case.add('network', f'resets the connection of {self.job}')
+        sock = self.writer.get_extra_info('socket')
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+        )
+        self.writer.transport.abort()
+
+
+async def play(site: deployment.Deployment, trouble: bool) -> str | None:
+    for _ in range(ROUNDS):
+        broken = await _round(site, trouble)
+        if broken:
+            return broken
+        await asyncio.sleep(1)
+    return None
 
 
 async def _round(site: deployment.Deployment, trouble: bool) -> str | None:
-    jobs = [await _submit(site, number % 3) for number in range(JOBS)]
-    await asyncio.sleep(0.5)
-    busy = {
-        run.worker
-        for run in site.case.runs
-        if run.ended_at is None and run.task.split('.')[0] in jobs
-    }
-    place = next(n for n, each in enumerate(site.workers) if each.name in busy)
-    back_at = site.case.now()
+    entry = site.entries[0]
+    # A worker in the zone of the entry.
+    grey = site.workers[0]
+    grey.sheds = trouble
     if trouble:
-        site.sides[place].signal(signal.SIGSTOP)
-        await site.workers[place].suspend(SUSPENDED_S)
-        site.sides[place].signal(signal.SIGCONT)
-        back_at = site.case.now()
-    await asyncio.sleep(8)
-    overlaps = []
-    for job in jobs:
-        for first, second, _ in site.case.overlaps(job):
-            # Only what both run once the machine is back.
-            ends = [run.ended_at or site.case.now() for run in (first, second)]
-            shared = min(ends) - max(
-                first.started_at, second.started_at, back_at
-            )
-            if shared > 0:
-                overlaps.append((first, second, shared))
+        site.case.add(grey.name, 'is unhealthy: answers starts with 503')
+    submissions = [Submission(site, deployment.job_id()) for _ in range(JOBS)]
+    waits = {each: asyncio.ensure_future(each.send()) for each in submissions}
+    if trouble:
+        await asyncio.sleep(0.5)
+        broken = random.sample(submissions, round(RESET_SHARE * JOBS))
+        for each in broken:
+            each.reset()
+        await asyncio.sleep(RESEND_S)
+        grey.sheds = False
+        site.case.add(grey.name, 'is healthy again')
+        await asyncio.sleep(max(SHED_S - 0.5 - RESEND_S, 0))
+        for each in broken:
+            waits[each] = asyncio.ensure_future(each.send())
+        await asyncio.sleep(0.5)
+        entry.signal(signal.SIGSTOP)
+        await asyncio.sleep(FREEZE_S)
+        entry.signal(signal.SIGCONT)
+    await asyncio.gather(*waits.values())
+    if not all(each.status == 200 for each in submissions):
+        site.case.add('client', 'not all jobs were answered with 200')
+    overlaps = [
+        found for each in submissions for found in site.case.overlaps(each.job)
+    ]
     if not overlaps:
         return None
     first, second, shared = max(overlaps, key=lambda found: found[2])
     return (
         f'TWICE: {len(overlaps)} tasks ran twice at the same time; {first.task}: '
         f'run {first.number} at {first.worker} and run {second.number} at '
-        f'{second.worker}, for {1000 * shared:.0f} ms after the machine was back'
+        f'{second.worker}, for {1000 * shared:.0f} ms'
     )
 
 
-async def play(site: deployment.Deployment, trouble: bool) -> str | None:
-    for _ in range(ROUNDS if trouble else 1):
-        broken = await _round(site, trouble)
-        if broken:
-            return broken
-    return None
-
-
 case.main(pathlib.Path(__file__).parent, create, play)
