--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,85 +1,88 @@
-"""Tasks run twice after the machine of their worker was suspended."""
+"""Tasks of a cancelled job start long after the cancel was acknowledged."""
 
 import asyncio
 import json
 import pathlib
-import signal
 
 from stand_ins_3 import case, deployment
 
 SIDES = 11
-JOBS = 22
-TASKS = 2
-WORK_MS = 5000
-# One machine is suspended: its agent and its worker with its steady clock.
-SUSPENDED_S = 3.5
-ROUNDS = 5
+JOBS = 3
+# Steps that follow one another, of one short task each.
+STEPS = 16
+WORK_MS = 400
+# One machine is partitioned from the store.
+CUT_S = 5.5
+# Bound of the site.
+CANCEL_S = 3.0
+ROUNDS = 6
 
 
 def create() -> deployment.Deployment:
     return deployment.Deployment(3, SIDES)
 
 
-async def _submit(site: deployment.Deployment, entry: int) -> str:
+async def _submit(site: deployment.Deployment) -> str:
     job = deployment.job_id()
     body = {
         'Specification': json.dumps({'work_ms': WORK_MS}),
         'Steps': [
             {
-                'Count': TASKS,
+                'Count': 1,
                 'Cpu': 1600,
                 'RequestedMemoryMb': 64,
                 'EstimatedMs': WORK_MS,
             }
+            | ({'After': [number - 1]} if number else {})
+            for number in range(STEPS)
         ],
     }
-    status, _ = await site.call(entry, 'POST', job, body)
+    status, _ = await site.call(0, 'POST', job, body)
     if status // 100 != 2:
         raise case.CannotRunError('a job was not accepted')
     return job
 
 
 async def _round(site: deployment.Deployment, trouble: bool) -> str | None:
-    jobs = [await _submit(site, number % 3) for number in range(JOBS)]
-    await asyncio.sleep(0.5)
-    busy = {
-        run.worker
-        for run in site.case.runs
-        if run.ended_at is None and run.task.split('.')[0] in jobs
-    }
-    place = next(n for n, each in enumerate(site.workers) if each.name in busy)
-    back_at = site.case.now()
+    owner = site.entries[0]
+    jobs = [await _submit(site) for _ in range(JOBS)]
+    await asyncio.sleep(0.2)
+    cut_at = site.case.now()
     if trouble:
-        site.sides[place].signal(signal.SIGSTOP)
-        await site.workers[place].suspend(SUSPENDED_S)
-        site.sides[place].signal(signal.SIGCONT)
-        back_at = site.case.now()
-    await asyncio.sleep(8)
-    overlaps = []
+        site.store.cut(owner.name)
+    acknowledged = {}
     for job in jobs:
-        for first, second, _ in site.case.overlaps(job):
-            # Only what both run once the machine is back.
-            ends = [run.ended_at or site.case.now() for run in (first, second)]
-            shared = min(ends) - max(
-                first.started_at, second.started_at, back_at
-            )
-            if shared > 0:
-                overlaps.append((first, second, shared))
-    if not overlaps:
+        status, _ = await site.call(1, 'DELETE', job)
+        if status not in {200, 410}:
+            raise case.CannotRunError('a cancel was not acknowledged')
+        acknowledged[job] = site.case.now()
+    await asyncio.sleep(max(cut_at + CUT_S - site.case.now(), 0))
+    if trouble:
+        site.store.heal(owner.name)
+    await asyncio.sleep(3)
+    late = [
+        (run, run.started_at - acknowledged[job])
+        for job in jobs
+        for run in site.case.runs
+        if run.task.startswith(job)
+        and run.started_at > acknowledged[job] + CANCEL_S
+    ]
+    if not late:
         return None
-    first, second, shared = max(overlaps, key=lambda found: found[2])
+    run, after = max(late, key=lambda found: found[1])
     return (
-        f'TWICE: {len(overlaps)} tasks ran twice at the same time; {first.task}: '
-        f'run {first.number} at {first.worker} and run {second.number} at '
-        f'{second.worker}, for {1000 * shared:.0f} ms after the machine was back'
+        f'UNASKED: {len(late)} tasks of cancelled jobs were started later than '
+        f'{CANCEL_S:g} s after the acknowledgement; {run.task} run {run.number} '
+        f'at {run.worker} {after:.2f} s after it'
     )
 
 
 async def play(site: deployment.Deployment, trouble: bool) -> str | None:
-    for _ in range(ROUNDS if trouble else 1):
+    for _ in range(ROUNDS if trouble else 2):
         broken = await _round(site, trouble)
         if broken:
             return broken
+        await asyncio.sleep(1)
     return None
 
 
