--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -120,6 +120,7 @@
         sides: int,
         *,
         spares: int = 0,
+        bounds: dict[str, typing.Any] | None = None,
         labels: typing.Callable[[int], list[str]] | None = None,
     ) -> None:
         """Choose addresses and create all machines.
@@ -185,7 +186,7 @@
                 'HeartbeatIntervalMs': 1500,
                 'Contracts': ['base', 'drain', 'config', 'recover', 'sched'],
                 'FaultTolerance': {'Machines': 2, 'Zones': 0, 'Regions': 0},
-                'Bounds': BOUNDS,
+                'Bounds': BOUNDS | (bounds or {}),
                 'Orders': 'request',
                 'platform': {
                     'Address': f'127.0.0.1:{store_ports[number]}',
