--- a/review/15/case.py
+++ b/review/15/case.py
@@ -119,6 +119,8 @@
         await asyncio.sleep(FREEZE_S)
         entry.signal(signal.SIGCONT)
     await asyncio.gather(*waits.values())
+    if not site.case.runs:
+        raise case.CannotRunError('no task was started')
     if not all(each.status == 200 for each in submissions):
         site.case.add('client', 'not all jobs were answered with 200')
     overlaps = [
