Wait for marker writes under way in store_starts of the tests

Both also hold while the marker is being written, and the test then closes the entry, which can cancel that write.

--- a/tests/test_waiting_jobs.py
+++ b/tests/test_waiting_jobs.py
@@ -64,12 +64,14 @@
             self.entry.coordinator.handle_message(self.agent, message)
 
     async def store_starts(self, entry: stored_world.Entry) -> None:
-        """Let an entry write its outdated markers."""
+        """Let an entry write its outdated markers, and wait for the writes."""
         entry.ownership.store_starts()
         await dispatch_world.wait_until(
             lambda: (
                 not any(
-                    owned.is_marker_outdated() or owned.pending.dirty
+                    owned.is_marker_outdated()
+                    or owned.pending.dirty
+                    or owned.pending.is_writing
                     for owned in entry.ownership.owned_jobs.values()
                 )
             )
