End the runs of a stale owner by a lease that agents keep

Cause: `ValidityMonitor._stop_all` sends `StopTasks` once, by the party in doubt. In the logs of the owner sends it 2 ms before it notices that the agents have closed their links; these log no `stop received` until 5.5 s later. On the next link `_reconcile_runs` took the listed runs for wanted ones.

Change: an entry grants a lease with each `Pong`, no longer than it certainly owns its stored jobs. Agents count it from their own ping, ask each 0.5 s while they have such runs, start nothing without it and stop what runs when it has expired. An entry in doubt also stops listed runs at each link. TAKEOVER_TIMEOUT_S is worked out afresh with a lost stop in it: 1.80 s beside the 2.35 s of a lost agent, so it stays 7.35 s.

Ruled out: stops that the owner repeats (it may be frozen or cut off from just that agent), a question of the next owner (it may not reach the agent), a lease in `StartTasks` (a frame may wait in a buffer).

--- a/src/poplardrum/dispatch/agent.py
+++ b/src/poplardrum/dispatch/agent.py
@@ -164,8 +164,8 @@
                 link.send(retained.message)
         for notice in self.executor.monitor.crashes.recent_notices:
             link.send(notice)
-        link.send(self.executor.active_runs(session))
         session_runs = self.executor.runs.of_session(session)
+        link.send(endpoint_runs.active_runs(session_runs))
         for start_notice in endpoint_runs.start_notices(session_runs):
             link.send(start_notice)
         self.reporter.attach(link)
--- a/src/poplardrum/dispatch/agent_process.py
+++ b/src/poplardrum/dispatch/agent_process.py
@@ -18,6 +18,7 @@
     executor,
     lifecycle,
     membership,
+    owner_lease_keeper,
     polling,
     reloading,
     status_persistence,
@@ -159,6 +160,10 @@
                 ),
             ),
             ('load reports', agent_links.reporter.run),
+            (
+                'owner leases',
+                owner_lease_keeper.OwnerLeaseKeeper(task_executor).run,
+            ),
             ('completions', agent_links.resend_completions),
             ('keep-alive', agent_links.keep_alive.run),
             ('entry links', agent_links.entry_links.run),
--- a/src/poplardrum/dispatch/connections.py
+++ b/src/poplardrum/dispatch/connections.py
@@ -8,7 +8,13 @@
 import msgspec
 
 from poplardrum import decoding, errors
-from poplardrum.dispatch import clocks, confirmation, messages, timing
+from poplardrum.dispatch import (
+    clocks,
+    confirmation,
+    messages,
+    owner_lease,
+    timing,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -22,6 +28,9 @@
     'HelloMessage', messages.AgentHello, messages.EntryHello
 )
 
+# Returns for how many seconds an entry certainly owns its stored jobs.
+GrantOwnerLease = typing.Callable[[], float]
+
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(list[messages.AnyMessage])
 
@@ -47,8 +56,9 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        grant_owner_lease: GrantOwnerLease | None = None,
     ) -> None:
-        """Wrap an open connection."""
+        """Wrap an open connection; an entry grants a lease with each pong."""
         self.reader = reader
         self.writer = writer
         self.pending: list[messages.Message] = []
@@ -63,8 +73,11 @@
         self.closed = False
         # Times are of `clocks.now`. A link is stale while a ping has no reply.
         self.last_received_at = clocks.now()
-        self.pinged_at = 0.0
         self.confirmation = confirmation.Confirmation()
+        # The peer's lease on its stored jobs, if it is an entry.
+        self.owner_lease = owner_lease.OwnerLease()
+        # Set here alone: an agent must never grant a lease.
+        self._grant_owner_lease = grant_owner_lease
         self.busy_since: float | None = None
         self.is_stale = False
         self.received = asyncio.Event()
@@ -109,18 +122,41 @@
 
     def ping(self) -> None:
         """Ask for a sign of life."""
-        self.pinged_at = clocks.now()
-        self.send(self.confirmation.next_ping())
+        self.send(self.confirmation.next_ping(clocks.now()))
+
+    def ping_if_older(self, time: float) -> None:
+        """Ping the peer unless a ping was sent after a time."""
+        if self.confirmation.pinged_at < time:
+            self.ping()
 
     async def confirm(self, timeout_s: float) -> bool:
         """Return whether the peer is there now; ping it if that is in doubt."""
         if self.confirmation.needs_ping():
             self.ping()
+        await self._wait_for(self.confirmation.is_given, timeout_s)
+        return self.confirmation.is_given() and not self.closed
+
+    async def ask_for_owner_lease(self, since: float, timeout_s: float) -> bool:
+        """Return whether the peer owns its jobs; ping it if that is in doubt.
+
+        A ping that was sent at `since` or later is not repeated.
+        """
+        if not self._has_owner_lease():
+            self.ping_if_older(since)
+            await self._wait_for(self._has_owner_lease, timeout_s)
+        return self._has_owner_lease() and not self.closed
+
+    def _has_owner_lease(self) -> bool:
+        return self.owner_lease.is_valid(clocks.now())
+
+    async def _wait_for(
+        self, condition: typing.Callable[[], bool], timeout_s: float
+    ) -> None:
+        """Wait until received messages make a condition hold."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
-                while not (self.closed or self.confirmation.is_given()):
+                while not (self.closed or condition()):
                     await self.received.wait()
-        return self.confirmation.is_given() and not self.closed
 
     def set_busy(self, busy: bool) -> None:
         """Record whether this side depends on the peer."""
@@ -206,13 +242,22 @@
         for message in received:
             match message:
                 case messages.Ping():
-                    self.send(messages.Pong(message.number))
+                    self._answer(message)
                 case messages.Pong():
-                    self.confirmation.record_pong(message)
+                    self._record_pong(message)
                 case _:
                     pass
         self._wake_waiters()
 
+    def _answer(self, ping: messages.Ping) -> None:
+        grant = self._grant_owner_lease
+        self.send(messages.Pong(ping.number, grant() if grant else None))
+
+    def _record_pong(self, pong: messages.Pong) -> None:
+        asked_at = self.confirmation.record_pong(pong)
+        if asked_at is not None:
+            self.owner_lease.renew(asked_at, pong.owner_lease)
+
     def _wake_waiters(self) -> None:
         self.received.set()
         self.received.clear()
--- a/src/poplardrum/dispatch/coordinator.py
+++ b/src/poplardrum/dispatch/coordinator.py
@@ -28,7 +28,15 @@
 _EXPIRY_RETRY_INTERVAL_S: typing.Final = 0.25
 # Refusals that say nothing about the node.
 _BLAMELESS_REFUSALS: typing.Final = frozenset(
-    (messages.Refusal.no_room, messages.Refusal.unknown),
+    (
+        messages.Refusal.no_room,
+        messages.Refusal.unknown,
+        messages.Refusal.owner_lease,
+    ),
+)
+# Refusals whose cause passes by itself.
+_REASONS_TO_WAIT: typing.Final = frozenset(
+    (messages.Refusal.conflict, messages.Refusal.owner_lease),
 )
 # Lower bound of a reported slowness, by which durations are divided.
 _MIN_SLOWNESS: typing.Final = 0.05
@@ -234,7 +242,7 @@
                 task.withdraw_start()
             if refusal.reason not in _BLAMELESS_REFUSALS:
                 task.avoided_nodes.add(agent.node)
-            if refusal.reason is messages.Refusal.conflict:
+            if refusal.reason in _REASONS_TO_WAIT:
                 self._requeue_later(job, task)
             else:
                 self._requeue(job, task)
@@ -244,15 +252,15 @@
     def _reconcile_runs(
         self, agent: fleet.Agent, active: messages.ActiveRuns
     ) -> None:
-        unknown_runs = set(active.runs)
+        unwanted_runs = set(active.runs)
         for job, task in jobs.tasks_at(self.jobs, agent):
             run = (job.id, task.run_id())
-            if run in unknown_runs:
-                unknown_runs.discard(run)
-            else:
+            if run not in unwanted_runs:
                 self._requeue(job, task)
+            elif job.owner is None or job.owner.may_run(job):
+                unwanted_runs.discard(run)
         if agent.link is not None:
-            for job_id, run_id in unknown_runs:
+            for job_id, run_id in unwanted_runs:
                 agent.link.send(messages.StopTasks(job_id, [run_id]))
         self.placer.schedule()
 
--- a/src/poplardrum/dispatch/endpoint_runs.py
+++ b/src/poplardrum/dispatch/endpoint_runs.py
@@ -88,8 +88,18 @@
 
     def may_start(self) -> bool:
         """Return whether its entry still wants it to start."""
+        if self.stored and not self.session.owner_lease.is_valid(clocks.now()):
+            return False
         return not self.stopping and self.session.is_connected()
 
+    def has_lost_owner(self, now: float) -> bool:
+        """Return whether it may be active, and another entry may own its job."""
+        return (
+            self.stored
+            and self.started_at > 0
+            and not self.session.owner_lease.is_valid(now)
+        )
+
     def key(self) -> RunKey:
         """Return the key by which the agent tracks the run."""
         return self.job, self.id.task_index
@@ -103,6 +113,11 @@
         )
 
 
+def active_runs(runs: typing.Iterable[Run]) -> messages.ActiveRuns:
+    """Return the notice of the active runs of an entry."""
+    return messages.ActiveRuns([(run.job, run.id) for run in runs])
+
+
 def start_notices(
     runs: typing.Iterable[Run],
 ) -> list[messages.RunStarted]:
--- a/src/poplardrum/dispatch/entry_sessions.py
+++ b/src/poplardrum/dispatch/entry_sessions.py
@@ -4,7 +4,13 @@
 import typing
 
 from poplardrum import ids
-from poplardrum.dispatch import clocks, connections, messages, timing
+from poplardrum.dispatch import (
+    clocks,
+    connections,
+    messages,
+    owner_lease,
+    timing,
+)
 
 # Older messages are dropped. A run whose completion is lost that way is missing
 # from `ActiveRuns`, so its task is queued again.
@@ -25,6 +31,7 @@
         self.node = node
         self.incarnation = incarnation
         self.link: connections.Link | None = None
+        self.owner_lease = owner_lease.OwnerLease()
         # Number of active runs of this entry at the endpoint.
         self.active_runs = 0
         self.expired = False
@@ -50,6 +57,7 @@
     def attach(self, link: connections.Link) -> None:
         """Continue on a new connection; send the last messages again."""
         self.link = link
+        link.owner_lease = self.owner_lease
         self.expired = False
         link.set_busy(self.active_runs > 0)
         for message in self.recent_messages:
@@ -78,6 +86,19 @@
             and self.is_connected()
         )
 
+    async def owns_jobs(
+        self, link: connections.Link | None, since: float
+    ) -> bool:
+        """Return whether the entry certainly owns its stored jobs now.
+
+        It is asked over the link of a command that came at `since`.
+        """
+        return (
+            link is not None
+            and await link.ask_for_owner_lease(since, timing.LINK_TIMEOUT_S)
+            and link is self.link
+        )
+
     def is_in_doubt(self) -> bool:
         """Return whether its next command has to be confirmed first."""
         return self.link is None or not self.link.confirmation.is_given()
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -143,14 +143,6 @@
         for run in self.runs.of_session(session):
             self.stop_run(run)
 
-    def active_runs(
-        self, session: entry_sessions.EntrySession
-    ) -> messages.ActiveRuns:
-        """Return the active runs of an entry."""
-        return messages.ActiveRuns(
-            [(run.job, run.id) for run in self.runs.of_session(session)]
-        )
-
     def observe_heartbeat(self, heartbeat: endpoints.Heartbeat) -> None:
         """Apply a heartbeat unless it is outdated."""
         previous = self.status.heartbeat
@@ -263,6 +255,11 @@
         if not await run.session.is_current(run.link):
             self._refuse(run, messages.Refusal.endpoint, 'entry not heard of')
             return
+        if run.stored and not await run.session.owns_jobs(
+            run.link, run.added_at
+        ):
+            self._refuse(run, messages.Refusal.owner_lease, 'no owner lease')
+            return
         refusal = await self.commands.start(
             self.endpoint, run, request.specification
         )
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -131,6 +131,9 @@
     def may_start(self, job: 'Job') -> bool:
         """Return whether tasks of the job may start now."""
 
+    def may_run(self, job: 'Job') -> bool:
+        """Return whether its active runs may go on."""
+
     def record_completion(
         self,
         job: 'Job',
--- a/src/poplardrum/dispatch/keepalive.py
+++ b/src/poplardrum/dispatch/keepalive.py
@@ -84,5 +84,5 @@
     link.is_stale = silence > timing.stale_after(interval)
     if now - expected_since > tolerated:
         link.abort()
-    elif min(silence, now - link.pinged_at) >= interval:
+    elif min(silence, now - link.confirmation.pinged_at) >= interval:
         link.ping()
--- a/src/poplardrum/dispatch/links.py
+++ b/src/poplardrum/dispatch/links.py
@@ -42,6 +42,7 @@
         self.keep_alive = keepalive.KeepAlive()
         self.run_audit = run_audit.RunAudit(job_coordinator)
         self.keep_alive.continuity = job_coordinator.continuity
+        self.grant_owner_lease: connections.GrantOwnerLease | None = None
 
     async def serve(
         self,
@@ -49,7 +50,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve one connection until it is closed or lost."""
-        link = connections.Link(reader, writer)
+        link = connections.Link(reader, writer, self.grant_owner_lease)
         link.send(
             messages.EntryHello(
                 self.node, self.coordinator.zone, self.incarnation
--- a/src/poplardrum/dispatch/membership.py
+++ b/src/poplardrum/dispatch/membership.py
@@ -114,11 +114,16 @@
                 self.missing.set()
 
     def is_valid(self) -> bool:
-        """Return whether no other entry can consider this one gone yet.
+        """Return whether no other entry can consider this one gone yet."""
+        return self.time_left() > 0
+
+    def time_left(self) -> float:
+        """Return for how many seconds no other entry can consider this one gone.
 
         The clock includes time in which the host was suspended.
         """
-        return clocks.now() - self.last_seen_at < timing.OWNERSHIP_TIMEOUT_S
+        expires_at = self.last_seen_at + timing.OWNERSHIP_TIMEOUT_S
+        return max(expires_at - clocks.now(), 0)
 
     async def run(self) -> None:
         """Renew the announcement until cancelled."""
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -143,15 +143,22 @@
 
 
 class Pong(Message, frozen=True, tag=14):
-    """Reply to the `Ping` with the same number."""
+    """Reply to the `Ping` with the same number.
+
+    An entry grants a lease on its stored jobs: it certainly owns them for
+    `owner_lease` seconds from the reply. Agents and entries of the previous version
+    send none.
+    """
 
     number: int = 0
+    owner_lease: float | None = None
 
 
 class Refusal(enum.IntEnum):
     """Why an agent did not start a run.
 
-    An `unknown` run is neither active nor retained when an entry asks for it.
+    An `unknown` run is neither active nor retained when an entry asks for it. The
+    `owner_lease` of the entry had expired before the run of a stored job started.
     """
 
     no_room = 1
@@ -159,6 +166,7 @@
     conflict = 3
     endpoint = 4
     unknown = 5
+    owner_lease = 6
 
 
 class Refused(Message, frozen=True, tag=7):
--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -105,6 +105,14 @@
             and self.can_own_jobs()
         )
 
+    def may_run(self, job: jobs.Job) -> bool:
+        """Return whether active runs of a stored job may go on.
+
+        They may not while another entry may have taken the job over.
+        """
+        owned = self.owned_jobs.get(job.id)
+        return owned is not None and owned.confirmed
+
     def handle_message(
         self, agent: fleet.Agent, message: messages.OwnerMessage
     ) -> None:
--- a/src/poplardrum/dispatch/run_table.py
+++ b/src/poplardrum/dispatch/run_table.py
@@ -1,5 +1,6 @@
 """The runs that an agent tracks at its endpoint."""
 
+import asyncio
 import logging
 
 from poplardrum import ids, log_events
@@ -19,6 +20,7 @@
     def __init__(self) -> None:
         """Create an empty table."""
         self._by_task: dict[endpoint_runs.RunKey, endpoint_runs.Run] = {}
+        self.stored_run_added = asyncio.Event()
 
     def __len__(self) -> int:
         """Return the number of tracked runs."""
@@ -60,6 +62,8 @@
         """Track a run of a task that has none."""
         self._by_task[run.key()] = run
         run.session.count_run(1)
+        if run.stored:
+            self.stored_run_added.set()
 
     def remove(self, run: endpoint_runs.Run) -> bool:
         """Stop tracking a run; return `False` if it was settled before."""
--- a/src/poplardrum/dispatch/timing.py
+++ b/src/poplardrum/dispatch/timing.py
@@ -97,10 +97,27 @@
     + TOTAL_STOP_TIMEOUT_S
     + max_lease_duration(LEASE_S)
 )
+# Interval at which an agent checks the leases of the owners of its stored runs, and
+# the age at which it renews them. A lease lasts for three seconds at least while its
+# entry reaches the store.
+OWNER_LEASE_CHECK_INTERVAL_S: typing.Final = 0.1
+OWNER_LEASE_RENEWAL_INTERVAL_S: typing.Final = 0.5
+# Longest time for which runs may go on after the lease of their owner has expired: an
+# agent that is paused at that moment lets the endpoint's lease expire, or wakes
+# before, renews it once, checks the owner's lease, and stops the runs as above.
+EXPIRED_OWNER_TIMEOUT_S: typing.Final = (
+    max_lease_duration(LEASE_S)
+    + OWNER_LEASE_CHECK_INTERVAL_S
+    + TOTAL_STOP_TIMEOUT_S
+    + max_lease_duration(LEASE_S)
+)
 # Agents that can be reached link again within this time after a cut has ended.
 RELINK_TIMEOUT_S: typing.Final = 2.0
 # When the announcement of an entry has been missing for this long, its stored
-# jobs have certainly been stopped, also at agents that it cannot reach.
+# jobs have certainly been stopped, also at agents that it cannot reach or whose
+# order to stop was lost.
 TAKEOVER_TIMEOUT_S: typing.Final = (
-    OWNERSHIP_TIMEOUT_S + LOST_AGENT_TIMEOUT_S + 0.5
+    OWNERSHIP_TIMEOUT_S
+    + max(LOST_AGENT_TIMEOUT_S, EXPIRED_OWNER_TIMEOUT_S)
+    + 0.5
 )
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -13,6 +13,7 @@
     entry_sessions,
     executor,
     messages,
+    owner_lease,
     polling,
 )
 from poplardrum.platform import endpoints
@@ -22,6 +23,7 @@
 DEMAND = messages.Resources(1000, 64, 0)
 LEASE_S = 1.0
 STOP_TIME_S = 0.01
+OWNER_LEASE_S = 3600.0
 
 
 class FakeLink:
@@ -35,6 +37,8 @@
         self.is_stale = False
         self.is_busy = False
         self.confirmation = confirmation.Confirmation()
+        self.owner_lease = owner_lease.OwnerLease()
+        self.asked_for_lease_at: list[float] = []
         self.is_confirmed = asyncio.Event()
         self.is_confirmed.set()
 
@@ -53,6 +57,16 @@
                 await self.is_confirmed.wait()
         return self.is_confirmed.is_set()
 
+    async def ask_for_owner_lease(self, since: float, timeout_s: float) -> bool:
+        """Return whether the entry has a lease; it answers no question."""
+        self.asked_for_lease_at.append(since)
+        return self.owner_lease.is_valid(clocks.now())
+
+    def ping_if_older(self, time: float) -> None:
+        """Record a ping in place of the confirmation's own."""
+        if self.confirmation.pinged_at < time:
+            self.sent.append(self.confirmation.next_ping(clocks.now()))
+
     @property
     def last_received_at(self) -> float:
         """Return the present time: the peer is always heard of."""
@@ -277,10 +291,12 @@
     def connect_entry(
         self, node: str
     ) -> tuple[entry_sessions.EntrySession, FakeLink]:
-        """Connect an entry; return its session and link."""
+        """Connect an entry that owns its jobs; return its session and link."""
         session = entry_sessions.EntrySession(node, ids.new_incarnation())
         link = FakeLink()
         session.link = typing.cast(connections.Link, link)
+        link.owner_lease = session.owner_lease
+        session.owner_lease.renew(clocks.now(), OWNER_LEASE_S)
         return session, link
 
     def send_heartbeat(
@@ -320,6 +336,8 @@
         run: int = 1,
         session: entry_sessions.EntrySession | None = None,
         job: ids.JobId = JOB_ID,
+        *,
+        stored: bool = False,
     ) -> None:
         """Send a command to start tasks."""
         self.executor.start(
@@ -330,6 +348,7 @@
                 DEMAND,
                 0.05,
                 [messages.RunId(index, run) for index in range(count)],
+                stored=stored,
             ),
         )
 
--- a/tests/test_message_faults.py
+++ b/tests/test_message_faults.py
@@ -66,6 +66,10 @@
         """Let all tasks start."""
         return True
 
+    def may_run(self, job: jobs.Job) -> bool:
+        """Let all runs go on."""
+        return True
+
     def record_completion(
         self,
         job: jobs.Job,
