Start stored tasks only after a recent read of the cancel requests

Cause: an acknowledgement counts on the owner's next read of the requests, and the owner didn't know that it had missed one. It sent tasks for as long as it owned the job (4.5 s), and after the cut wrote the record and started before it read.

Change: tasks of stored jobs are sent only within `cancel_ms` less 0.4 s of the last complete read, counted from its request (`cancel_reads`). The lease at the agents carries the same limit (`OwnerLeaseGrant.start_s`), so that a start which waits there for a sign of life, isolation or another try is bounded too. A job that was taken over or created while a read was under way waits for the next one, made at once. Late cancel requests are removed with the record of their job; they stayed in the store for good.

Ruled out: word from the entry that takes the cancel to all agents (they link to a part of the entries), an acknowledgement that waits for the owner (the cut is longer than AckTimeoutMs).

The cost in an outage isn't measured yet.

--- a/src/poplardrum/dispatch/commands.py
+++ b/src/poplardrum/dispatch/commands.py
@@ -17,7 +17,6 @@
 
 logger = logging.getLogger(__name__)
 
-_START_REQUEST_TIMEOUT_S: typing.Final = 0.2
 _STOP_REQUEST_TIMEOUT_S: typing.Final = 0.1
 _MAX_START_ATTEMPTS: typing.Final = 3
 # Reports requested this long after the stop time list a stopped run as
@@ -71,7 +70,7 @@
                 ),
                 until_ms=until_ms,
                 fencing_token=run.fencing_token,
-                timeout_s=_START_REQUEST_TIMEOUT_S,
+                timeout_s=timing.START_REQUEST_S,
             )
             if not self.is_tracked(run):
                 return None
--- a/src/poplardrum/dispatch/connections.py
+++ b/src/poplardrum/dispatch/connections.py
@@ -28,8 +28,8 @@
     'HelloMessage', messages.AgentHello, messages.EntryHello
 )
 
-# Returns for how many seconds an entry certainly owns its stored jobs.
-GrantOwnerLease = typing.Callable[[], float]
+# Returns for how long an entry's stored jobs may run from now on.
+GrantOwnerLease = typing.Callable[[], messages.OwnerLeaseGrant]
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(list[messages.AnyMessage])
@@ -137,17 +137,17 @@
         return self.confirmation.is_given() and not self.closed
 
     async def ask_for_owner_lease(self, since: float, timeout_s: float) -> bool:
-        """Return whether the peer owns its jobs; ping it if that is in doubt.
+        """Return whether the peer's stored jobs may start; ping it if in doubt.
 
         A ping that was sent at `since` or later is not repeated.
         """
-        if not self._has_owner_lease():
+        if not self._may_start_stored_jobs():
             self.ping_if_older(since)
-            await self._wait_for(self._has_owner_lease, timeout_s)
-        return self._has_owner_lease() and not self.closed
+            await self._wait_for(self._may_start_stored_jobs, timeout_s)
+        return self._may_start_stored_jobs() and not self.closed
 
-    def _has_owner_lease(self) -> bool:
-        return self.owner_lease.is_valid(clocks.now())
+    def _may_start_stored_jobs(self) -> bool:
+        return self.owner_lease.may_start(clocks.now())
 
     async def _wait_for(
         self, condition: typing.Callable[[], bool], timeout_s: float
--- a/src/poplardrum/dispatch/endpoint_runs.py
+++ b/src/poplardrum/dispatch/endpoint_runs.py
@@ -88,7 +88,8 @@
 
     def may_start(self) -> bool:
         """Return whether its entry still wants it to start."""
-        if self.stored and not self.session.owner_lease.is_valid(clocks.now()):
+        now = clocks.now()
+        if self.stored and not self.session.owner_lease.may_start(now):
             return False
         return not self.stopping and self.session.is_connected()
 
--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -116,7 +116,7 @@
         agent_links = links.AgentLinks(
             config.node, announcement.member.incarnation, job_coordinator, guard
         )
-        agent_links.grant_owner_lease = announcement.time_left
+        agent_links.grant_owner_lease = services.grant_owner_lease
         stack.callback(agent_links.close)
         await lifecycle.serve_connections(
             stack, agent_links.serve, config.peers, settings.listeners
--- a/src/poplardrum/dispatch/entry_sessions.py
+++ b/src/poplardrum/dispatch/entry_sessions.py
@@ -86,10 +86,10 @@
             and self.is_connected()
         )
 
-    async def owns_jobs(
+    async def may_start_stored_jobs(
         self, link: connections.Link | None, since: float
     ) -> bool:
-        """Return whether the entry certainly owns its stored jobs now.
+        """Return whether the lease of the entry lets its stored jobs start now.
 
         It is asked over the link of a command that came at `since`.
         """
--- a/src/poplardrum/dispatch/executor.py
+++ b/src/poplardrum/dispatch/executor.py
@@ -255,7 +255,7 @@
         if not await run.session.is_current(run.link):
             self._refuse(run, messages.Refusal.endpoint, 'entry not heard of')
             return
-        if run.stored and not await run.session.owns_jobs(
+        if run.stored and not await run.session.may_start_stored_jobs(
             run.link, run.added_at
         ):
             self._refuse(run, messages.Refusal.owner_lease, 'no owner lease')
--- a/src/poplardrum/dispatch/messages.py
+++ b/src/poplardrum/dispatch/messages.py
@@ -142,23 +142,34 @@
     number: int = 0
 
 
+class OwnerLeaseGrant(msgspec.Struct, frozen=True, array_like=True):
+    """For how long an agent may run the stored jobs of an entry.
+
+    Runs may go on for `run_s` seconds from the reply: that long the entry certainly
+    owns its jobs. Tasks may start for `start_s` seconds: that long no job can have
+    been cancelled early enough to forbid it.
+    """
+
+    run_s: float
+    start_s: float
+
+
 class Pong(Message, frozen=True, tag=14):
     """Reply to the `Ping` with the same number.
 
-    An entry grants a lease on its stored jobs: it certainly owns them for
-    `owner_lease` seconds from the reply. Agents and entries of the previous version
-    send none.
+    An entry grants a lease on its stored jobs. Agents and entries of the previous
+    version grant none.
     """
 
     number: int = 0
-    owner_lease: float | None = None
+    owner_lease: OwnerLeaseGrant | None = None
 
 
 class Refusal(enum.IntEnum):
     """Why an agent did not start a run.
 
     An `unknown` run is neither active nor retained when an entry asks for it. The
-    `owner_lease` of the entry had expired before the run of a stored job started.
+    `owner_lease` of the entry did not let the run of a stored job start.
     """
 
     no_room = 1
--- a/src/poplardrum/dispatch/owned_jobs.py
+++ b/src/poplardrum/dispatch/owned_jobs.py
@@ -27,7 +27,8 @@
     have yet, with the agents that expect their acknowledgements. The job is
     not `confirmed` while another entry may have taken it over; a write that is
     to find that out `is_reclaiming` it. `unstored_losses` is the number of runs
-    that were given up, which the store may not have yet.
+    that were given up, which the store may not have yet. `is_cancel_checked` says
+    whether the last read of the cancel requests has covered the job.
     """
 
     job: jobs.Job
@@ -38,6 +39,7 @@
     confirmed: bool = True
     is_reclaiming: bool = False
     unstored_losses: int = 0
+    is_cancel_checked: bool = False
 
     def is_marker_outdated(self) -> bool:
         """Return whether the marker does not say yet that the job has begun."""
--- a/src/poplardrum/dispatch/owner_lease.py
+++ b/src/poplardrum/dispatch/owner_lease.py
@@ -8,9 +8,11 @@
 
 import math
 
+from poplardrum.dispatch import messages
+
 
 class OwnerLease:
-    """Until when an entry certainly owns its stored jobs.
+    """Until when the stored jobs of an entry may run, and their tasks start.
 
     Times are of `clocks.now`, which includes time of suspension.
     """
@@ -18,17 +20,28 @@
     def __init__(self) -> None:
         """Create a lease that was never granted."""
         self.expires_at = -math.inf
+        self.starts_until = -math.inf
 
-    def renew(self, asked_at: float, duration_s: float | None) -> None:
+    def renew(
+        self, asked_at: float, grant: messages.OwnerLeaseGrant | None
+    ) -> None:
         """Extend the lease by a reply to a request that was sent at `asked_at`.
 
-        The duration counts from the request, so that a delayed reply does not
-        extend it. It is `None` if the entry is of a version without leases, which
-        stops its jobs itself.
+        The durations count from the request, so that a delayed reply does not
+        extend them. There is no grant if the entry is of a version without leases,
+        which stops its jobs itself.
         """
-        expires_at = math.inf if duration_s is None else asked_at + duration_s
-        self.expires_at = max(self.expires_at, expires_at)
+        if grant is None:
+            self.expires_at = math.inf
+            self.starts_until = math.inf
+            return
+        self.expires_at = max(self.expires_at, asked_at + grant.run_s)
+        self.starts_until = max(self.starts_until, asked_at + grant.start_s)
 
     def is_valid(self, now: float) -> bool:
         """Return whether the entry certainly owns its jobs at a time."""
         return now < self.expires_at
+
+    def may_start(self, now: float) -> bool:
+        """Return whether tasks of its jobs may start at a time."""
+        return now < min(self.expires_at, self.starts_until)
--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -7,6 +7,7 @@
 
 from poplardrum import background, ids, log_events
 from poplardrum.dispatch import (
+    cancel_reads,
     clocks,
     completion_intake,
     coordinator,
@@ -42,6 +43,7 @@
         job_coordinator: coordinator.Coordinator,
         writer: record_writer.RecordWriter,
         can_own_jobs: typing.Callable[[], bool],
+        cancels: cancel_reads.CancelReads,
     ) -> None:
         """Own jobs as `incarnation` while `can_own_jobs` returns `True`."""
         self.incarnation = incarnation
@@ -49,6 +51,7 @@
         self.coordinator = job_coordinator
         self.writer = writer
         self.can_own_jobs = can_own_jobs
+        self.cancels = cancels
         self.owned_jobs: dict[ids.JobId, owned_jobs.OwnedJob] = {}
         self.finished_jobs: collections.OrderedDict[
             ids.JobId, records.State
@@ -65,14 +68,20 @@
         self.background = background.Tasks()
 
     def take_ownership(
-        self, job: jobs.Job, pending: record_writer.PendingRecord
+        self,
+        job: jobs.Job,
+        pending: record_writer.PendingRecord,
+        cancel_checked_at: float,
     ) -> owned_jobs.OwnedJob:
         """Own a job whose record is stored, and run it.
 
-        If this entry cannot own jobs now, another one may have taken the job
+        It had no cancel request at `cancel_checked_at`. If this entry cannot own jobs now, another one may have taken the job
         over since its record was stored.
         """
         owned = owned_jobs.OwnedJob(job, pending, confirmed=self.can_own_jobs())
+        self.cancels.add_job(
+            owned, cancel_checked_at, is_only=not self.owned_jobs
+        )
         self.owned_jobs[job.id] = owned
         self.intake.apply_unclaimed(owned)
         self.coordinator.suspects.restore(job.id, pending.record.crashes)
@@ -103,6 +112,7 @@
             and owned.confirmed
             and not owned.unstored_losses
             and self.can_own_jobs()
+            and self.cancels.may_start(owned)
         )
 
     def may_run(self, job: jobs.Job) -> bool:
--- a/src/poplardrum/dispatch/stored_job_services.py
+++ b/src/poplardrum/dispatch/stored_job_services.py
@@ -1,9 +1,11 @@
 """Set-up of an entry's services for stored jobs."""
 
 from poplardrum.dispatch import (
+    cancel_reads,
     coordinator,
     lifecycle,
     membership,
+    messages,
     ownership,
     ownership_validity,
     record_writer,
@@ -25,6 +27,7 @@
         announcement: membership.Announcement,
     ) -> None:
         """Own jobs while the announcement is valid."""
+        self.announcement = announcement
         self.writer = record_writer.RecordWriter(
             record_store,
             config.writes_per_second,
@@ -35,6 +38,7 @@
             job_coordinator,
             self.writer,
             announcement.is_valid,
+            cancel_reads.CancelReads(config.cancel_bound),
         )
         self.validity = ownership_validity.ValidityMonitor(self.ownership)
         job_coordinator.reachability.store_contact = announcement.store_contact
@@ -50,6 +54,13 @@
             config.states_kept,
         )
 
+    def grant_owner_lease(self) -> messages.OwnerLeaseGrant:
+        """Return for how long agents may run the stored jobs from now on."""
+        return messages.OwnerLeaseGrant(
+            self.announcement.time_left(),
+            self.ownership.cancels.start_time_left(),
+        )
+
     def background_loops(
         self,
     ) -> list[tuple[str, lifecycle.BackgroundLoop]]:
--- a/src/poplardrum/dispatch/stored_jobs.py
+++ b/src/poplardrum/dispatch/stored_jobs.py
@@ -23,9 +23,9 @@
 _LAST_ANSWER_S: typing.Final = 0.1
 _LAST_ANSWER_FRACTION: typing.Final = 0.25
 _MAX_OWNED_JOBS: typing.Final = 2000
-_CANCELS_POLL_INTERVAL_S: typing.Final = 0.5
 _REMOVAL_INTERVAL_S: typing.Final = 5.0
-_MAX_REMOVALS_PER_COMMIT: typing.Final = 30
+# Each takes two rows of a transaction, which has 32.
+_MAX_REMOVALS_PER_COMMIT: typing.Final = 15
 _RETRY_AFTER_S: typing.Final = 1.0
 
 
@@ -127,18 +127,35 @@
     async def poll_cancels(self) -> None:
         """Cancel own jobs whose cancel requests other entries received."""
         while True:
-            await asyncio.sleep(_CANCELS_POLL_INTERVAL_S)
-            if not self.ownership.owned_jobs:
-                continue
-            try:
-                cancels = await self.store.list(records.CANCELS_PREFIX)
-            except errors.PoplardrumError:
-                # `RouteTable` logs that the store is unreachable.
-                continue
-            for item in cancels:
-                self._cancel_requested(
-                    ids.JobId(item.key.removeprefix(records.CANCELS_PREFIX))
-                )
+            await self.ownership.cancels.wait_until_due()
+            if self.ownership.owned_jobs:
+                await self._read_cancels()
+
+    async def _read_cancels(self) -> None:
+        """Cancel the requested jobs; only then others may start again."""
+        cancels = self.ownership.cancels
+        requested_at = clocks.now()
+        try:
+            items = await self.store.list(records.CANCELS_PREFIX)
+        except errors.PoplardrumError as error:
+            self._log_unread_cancels(error)
+            return
+        for item in items:
+            self._cancel_requested(
+                ids.JobId(item.key.removeprefix(records.CANCELS_PREFIX))
+            )
+        cancels.record_read(requested_at, self.ownership.owned_jobs.values())
+        self.ownership.coordinator.placer.schedule()
+
+    def _log_unread_cancels(self, error: errors.PoplardrumError) -> None:
+        if not self.ownership.cancels.start_time_left():
+            log_events.emit(
+                logger,
+                'starts held: cancel requests not read',
+                level=logging.WARNING,
+                jobs=len(self.ownership.owned_jobs),
+                why=error.message,
+            )
 
     async def remove_expired_records(self) -> None:
         """Remove records of finished jobs after the retention time."""
@@ -149,8 +166,14 @@
             )
             for start in range(0, len(expired), _MAX_REMOVALS_PER_COMMIT):
                 group = expired[start : start + _MAX_REMOVALS_PER_COMMIT]
+                # A cancel request may have come just as its job ended.
                 changes = [
-                    store.Change(records.record_key(job), None) for job in group
+                    store.Change(key, None)
+                    for job in group
+                    for key in (
+                        records.record_key(job),
+                        records.CANCELS_PREFIX + job,
+                    )
                 ]
                 try:
                     await self.store.commit(changes)
@@ -186,11 +209,13 @@
     async def _create(
         self, job: ids.JobId, record: records.Record
     ) -> record_writer.WriteResult:
+        # Others know the job, and may cancel it, only from its first write on.
+        unknown_at = clocks.now()
         pending = self.ownership.writer.open(job, record)
         result = await self.ownership.writer.put(pending)
         if result is record_writer.WriteResult.committed:
             stored_job = takeover.make_job(job, record, self.ownership)
-            self.ownership.take_ownership(stored_job, pending)
+            self.ownership.take_ownership(stored_job, pending, unknown_at)
         return result
 
     async def _read_record(self, job: ids.JobId) -> records.Record:
--- a/src/poplardrum/dispatch/takeover.py
+++ b/src/poplardrum/dispatch/takeover.py
@@ -239,6 +239,7 @@
         if current is None or current[0].is_over() or current[0].owner != owner:
             await self.store.commit([_removal(marker)])
             return
+        checked_at = clocks.now()
         cancelled = (
             await self.store.get(records.CANCELS_PREFIX + job) is not None
         )
@@ -265,7 +266,7 @@
         pending.revision = index
         self.ownership.writer.track(pending)
         owned = self.ownership.take_ownership(
-            make_job(job, new_record, self.ownership), pending
+            make_job(job, new_record, self.ownership), pending, checked_at
         )
         if cancelled:
             await self.ownership.cancel(owned)
--- a/src/poplardrum/dispatch/timing.py
+++ b/src/poplardrum/dispatch/timing.py
@@ -111,6 +111,11 @@
     + TOTAL_STOP_TIMEOUT_S
     + max_lease_duration(LEASE_S)
 )
+# Time for a start request to an endpoint. One without a reply may be carried out
+# later, which no sender can prevent.
+START_REQUEST_S: typing.Final = 0.2
+# Time in which a command to start usually reaches the endpoint.
+COMMAND_DELAY_S: typing.Final = 0.2
 # Agents that can be reached link again within this time after a cut has ended.
 RELINK_TIMEOUT_S: typing.Final = 2.0
 # When the announcement of an entry has been missing for this long, its stored
--- a/src/poplardrum/platform/settings_file.py
+++ b/src/poplardrum/platform/settings_file.py
@@ -23,6 +23,8 @@
     max_lease_ms: float = msgspec.field(default=1000, name='MaxHoldMs')
     stop_timeout_ms: float = msgspec.field(default=50, name='StopTimeoutMs')
     resubmission_ms: float = msgspec.field(default=1300, name='ResendMs')
+    # A task starts no later than this after the cancel of its job.
+    cancel_ms: float = 3000
     config_apply_ms: float = msgspec.field(default=2000, name='ConfigApplyMs')
     # How many times as long tasks take outside the rack of their data.
     far_factor: float = msgspec.field(default=1, name='SpreadFactor')
@@ -66,7 +68,8 @@
     `peers` is the address for links between entries and agents, with the
     same port on all hosts. `registry` receives the endpoint's heartbeats.
     The store accepts `writes_per_second` from all hosts together. The state
-    of a job can be requested until `states_kept` after its end. Names of
+    of a job can be requested until `states_kept` after its end. No task starts
+    later than `cancel_bound` after the cancel of its job. Names of
     fields are logged when the file has changed.
 
     Where operators evacuate availability zones, no task may start in one
@@ -89,6 +92,7 @@
     stop_time: float
     resubmission: float
     config_bound: float
+    cancel_bound: float
     far_factor: float
     writes_per_second: float
     states_kept: float
@@ -140,6 +144,7 @@
         stop_time=bounds.stop_timeout_ms / _MS_PER_S,
         resubmission=bounds.resubmission_ms / _MS_PER_S,
         config_bound=bounds.config_apply_ms / _MS_PER_S,
+        cancel_bound=bounds.cancel_ms / _MS_PER_S,
         far_factor=bounds.far_factor,
         writes_per_second=document.store.writes_per_s,
         states_kept=bounds.status_s,
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import typing
 
 from poplardrum import ids
 from poplardrum.dispatch import (
+    cancel_reads,
     clocks,
     confirmation,
     connections,
@@ -23,7 +25,7 @@
 DEMAND = messages.Resources(1000, 64, 0)
 LEASE_S = 1.0
 STOP_TIME_S = 0.01
-OWNER_LEASE_S = 3600.0
+OWNER_LEASE = messages.OwnerLeaseGrant(3600.0, 3600.0)
 
 
 class FakeLink:
@@ -60,7 +62,7 @@
     async def ask_for_owner_lease(self, since: float, timeout_s: float) -> bool:
         """Return whether the entry has a lease; it answers no question."""
         self.asked_for_lease_at.append(since)
-        return self.owner_lease.is_valid(clocks.now())
+        return self.owner_lease.may_start(clocks.now())
 
     def ping_if_older(self, time: float) -> None:
         """Record a ping in place of the confirmation's own."""
@@ -296,7 +298,7 @@
         link = FakeLink()
         session.link = typing.cast(connections.Link, link)
         link.owner_lease = session.owner_lease
-        session.owner_lease.renew(clocks.now(), OWNER_LEASE_S)
+        session.owner_lease.renew(clocks.now(), OWNER_LEASE)
         return session, link
 
     def send_heartbeat(
@@ -377,6 +379,11 @@
         )
 
 
+def unbounded_cancel_reads() -> cancel_reads.CancelReads:
+    """Return reads of any age, for entries that read no cancel requests."""
+    return cancel_reads.CancelReads(math.inf)
+
+
 async def wait_until(condition: typing.Callable[[], object]) -> None:
     """Wait until a condition holds; fail after 20 s."""
     async with asyncio.timeout(20):
--- a/tests/stored_world.py
+++ b/tests/stored_world.py
@@ -149,6 +149,7 @@
             self.coordinator,
             self.writer,
             lambda: self.can_own_jobs,
+            dispatch_world.unbounded_cancel_reads(),
         )
         self.coordinator.on_owner_message = self.ownership.handle_message
         self.owner_tracker = takeover.OwnerTracker()
@@ -221,6 +222,7 @@
         return self.ownership.take_ownership(
             takeover.make_job(job, record, self.ownership),
             pending,
+            clocks.now(),
         )
 
     def complete(
--- a/tests/test_owner_leases.py
+++ b/tests/test_owner_leases.py
@@ -1,7 +1,9 @@
 """Leases of entries on their stored jobs, and what happens without one."""
 
 import asyncio
+import typing
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -16,6 +18,7 @@
     ownership_validity,
     timing,
 )
+from poplardrum.platform import endpoints
 from tests import (
     dispatch_world,
     executor_case,
@@ -81,14 +84,22 @@
 
     def test_late_reply(self) -> None:
         """Guards against a lease that a delayed reply extends."""
-        self.lease.renew(100, 4)
+        self.lease.renew(100, messages.OwnerLeaseGrant(4, 2))
         self.assertTrue(self.lease.is_valid(103.9))
         self.assertFalse(self.lease.is_valid(104))
 
+    def test_starts(self) -> None:
+        """Guards against starts as long as runs may go on, or longer."""
+        self.lease.renew(100, messages.OwnerLeaseGrant(4, 2))
+        self.assertTrue(self.lease.may_start(101.9))
+        self.assertFalse(self.lease.may_start(102))
+        self.lease.renew(103, messages.OwnerLeaseGrant(0, 2))
+        self.assertFalse(self.lease.may_start(104))
+
     def test_replies_out_of_order(self) -> None:
         """Guards against a lease that an older reply shortens."""
-        self.lease.renew(101, 4)
-        self.lease.renew(100, 4)
+        self.lease.renew(101, messages.OwnerLeaseGrant(4, 2))
+        self.lease.renew(100, messages.OwnerLeaseGrant(4, 2))
         self.assertTrue(self.lease.is_valid(104.9))
 
     def test_version_without_leases(self) -> None:
@@ -167,16 +178,18 @@
         await super().asyncSetUp()
         self.link, self.writer = test_dispatch_links.make_link()
         self.world.session.attach(self.link)
-        self.world.session.owner_lease.expires_at = clocks.now()
+        lease = self.world.session.owner_lease
+        lease.expires_at = lease.starts_until = clocks.now()
         self.started = self.world.endpoint.leased.started_runs
 
     def sent_pings(self) -> int:
         """Return the number of pings that the agent has sent."""
         return self.link.confirmation.pings_sent
 
-    async def grant(self, duration_s: float | None, number: int) -> None:
+    async def grant(self, run_s: float, start_s: float, number: int) -> None:
         """Let the reply to a ping arrive."""
-        body = msgspec.msgpack.encode([messages.Pong(number, duration_s)])
+        lease = messages.OwnerLeaseGrant(run_s, start_s)
+        body = msgspec.msgpack.encode([messages.Pong(number, lease)])
         self.link.reader.feed_data(len(body).to_bytes(4, 'big') + body)
         await self.link.receive()
 
@@ -186,27 +199,64 @@
         await dispatch_world.wait_until(self.sent_pings)
         self.assertEqual(self.sent_pings(), 1)
         self.assertEqual(self.started, [])
-        await self.grant(3.0, 1)
+        await self.grant(3.0, 2.0, 1)
         await dispatch_world.wait_until(lambda: len(self.started) == 3)
 
     async def test_entry_without_a_lease(self) -> None:
-        """Guards against a task that is lost when its start is refused."""
+        """Guards against a start by an entry whose job has another owner."""
+        await self.refuse_start(run_s=0.0, start_s=2.0)
+
+    async def test_entry_without_recent_cancels(self) -> None:
+        """Guards against a start long after the cancel of its job.
+
+        It had waited here for a sign of life of its entry.
+        """
+        await self.refuse_start(run_s=3.0, start_s=0.0)
+
+    async def refuse_start(self, run_s: float, start_s: float) -> None:
+        """Check that nothing starts under a lease."""
         self.world.start_tasks(1, stored=True)
         await dispatch_world.wait_until(self.sent_pings)
-        await self.grant(0.0, 1)
-        await dispatch_world.wait_until(
-            lambda: [
-                message
-                for message in self.world.session.recent_messages
-                if isinstance(message, messages.Refused)
-                and message.reason is messages.Refusal.owner_lease
-            ]
+        await self.grant(run_s, start_s, 1)
+        await dispatch_world.wait_until(self.refusals)
+        self.assertEqual(self.started, [])
+
+    def refusals(self) -> list[messages.Refused]:
+        """Return the refusals for want of a lease."""
+        return [
+            message
+            for message in self.world.session.recent_messages
+            if isinstance(message, messages.Refused)
+            and message.reason is messages.Refusal.owner_lease
+        ]
+
+    async def test_start_that_is_sent_again(self) -> None:
+        """Guards against a second try that is sent after the lease has expired."""
+        lease = self.world.session.owner_lease
+        lease.renew(clocks.now(), messages.OwnerLeaseGrant(60.0, 60.0))
+        endpoint = self.world.endpoint
+        endpoint.leased.fencing_token = (
+            self.world.executor.lease.fencing_token + 1
         )
+        send = endpoint.start
+
+        async def expire_after_reply(
+            request: endpoints.StartRequest, **options: typing.Any
+        ) -> endpoints.Reply:
+            reply = await send(request, **options)
+            lease.starts_until = clocks.now()
+            return reply
+
+        with mock.patch.object(endpoint, 'start', expire_after_reply):
+            self.world.start_tasks(1, stored=True)
+            await dispatch_world.wait_until(
+                lambda: self.world.session.recent_messages
+            )
         self.assertEqual(self.started, [])
 
     async def test_reply_to_an_unknown_ping(self) -> None:
         """Guards against a lease of which it is not known when it began."""
-        await self.grant(3.0, 7)
+        await self.grant(3.0, 2.0, 7)
         self.assertFalse(self.world.session.owner_lease.is_valid(clocks.now()))
 
     async def test_jobs_that_are_not_stored(self) -> None:
@@ -232,12 +282,13 @@
 
     async def test_entry_grants_what_is_left(self) -> None:
         """Guards against a lease that lasts longer than the ownership."""
-        link, writer = test_dispatch_links.make_link()
+        grant = messages.OwnerLeaseGrant(1.5, 0.5)
+        link, _ = test_dispatch_links.make_link()
         entry_link = connections.Link(
-            asyncio.StreamReader(), link.writer, lambda: 1.5
+            asyncio.StreamReader(), link.writer, lambda: grant
         )
         self.assertEqual(
-            await self.replies_of(entry_link), [messages.Pong(1, 1.5)]
+            await self.replies_of(entry_link), [messages.Pong(1, grant)]
         )
 
     async def test_agent_grants_nothing(self) -> None:
--- a/tools/simulation/processes.py
+++ b/tools/simulation/processes.py
@@ -197,6 +197,7 @@
         max_lease=timing.LEASE_S,
         stop_time=_STOP_TIME_S,
         resubmission=RESUBMISSION_S,
+        cancel_bound=3.0,
         config_bound=2.0,
         far_factor=1.0,
         writes_per_second=400.0,
