Number the runs of each attempt of a job from a later time

Cause: runs were named by job, task and number, and each attempt counted from 1. Anything about the first attempt fitted the second.

Change: `run_numbers` numbers the runs of an attempt from the time in microseconds, by the time of day at the start of the process and a steady clock from then on: never twice in a process, and rising from one process or entry to the next. Endpoints reject a run that isn't higher than one that ended there, so this also spares the second attempt a rejection.

Ruled out: a counter of each entry (an entry with a low count would be rejected where one with a high count had been), the last number by job (a table that can't be bounded safely), replay of what isn't acknowledged (a late message on the same link would still fit).

--- a/bench/look_ahead_model.py
+++ b/bench/look_ahead_model.py
@@ -17,6 +17,7 @@
 from poplardrum.dispatch import (
     fleet,
     forecasts,
+    job_widths,
     jobs,
     look_ahead,
     messages,
@@ -217,7 +218,7 @@
             self.arrivals.randint(*NEED_MILLICORES), 64, 0
         )
         job = make_job(next(self.sequence), kind, width, need, self.now)
-        self.result.arrived[jobs.width_label(width)] += 1
+        self.result.arrived[job_widths.label(width)] += 1
         entry = self.arrivals.choice(self.entries)
         entry.waiting[job.id] = job
         self._schedule(entry)
@@ -290,7 +291,7 @@
         task.leave_agent(job.id, jobs.Phase.done)
         peer.apply_load(self.now)
         if all(each.phase is jobs.Phase.done for each in job.tasks):
-            label = jobs.width_label(len(job.tasks))
+            label = job_widths.label(len(job.tasks))
             self.result.waits[label].append(
                 max(each.placed_at for each in job.tasks) - job.arrived_at
             )
--- a/src/poplardrum/dispatch/entry_sessions.py
+++ b/src/poplardrum/dispatch/entry_sessions.py
@@ -22,7 +22,8 @@
 
     It survives a short loss of the connection. On each new connection the
     last messages are sent again, since any of them may have been lost;
-    entries ignore those that no longer apply. An `expired` session ends with
+    entries ignore those that no longer apply, which they tell by the numbers of the
+    runs: none is given twice. An `expired` session ends with
     its last run, unless the entry connects again before.
     """
 
--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -22,14 +22,6 @@
 # endpoints that are too slow by this factor: predictions err about as much.
 _LAST_RESORT_FACTOR: typing.Final = 1.25
 
-_WIDTH_CLASSES: typing.Final = (
-    (2, '1-2'),
-    (4, '3-4'),
-    (8, '5-8'),
-    (16, '9-16'),
-)
-_WIDEST: typing.Final = '17+'
-
 
 class Phase(enum.Enum):
     """Phase of a task.
@@ -79,17 +71,18 @@
 class Task:
     """One task of a step.
 
-    `run_number` is the number of its latest run, and `latest_start` that of the
-    latest one that may have started here, 0 if there is none; before its current
-    run that was `earlier_start`. `normalized_duration` is
-    the duration of its last run, in seconds on an endpoint of slowness 1. The
-    task `was_moved` if its run was stopped as a straggler to start it elsewhere.
+    `run_number` is the number of its latest run, or one below that of the first;
+    `run_count` counts the runs that were sent from here. `latest_start` is the number
+    of the latest one that may have started here, 0 if there is none; before its
+    current run that was `earlier_start`. `normalized_duration` is the duration of its
+    last run, in seconds on an endpoint of slowness 1. The task `was_moved` if its run was stopped as a straggler to start it elsewhere.
     """
 
     index: int
     step: Step
     phase: Phase = Phase.waiting
     run_number: int = 0
+    run_count: int = 0
     latest_start: int = 0
     earlier_start: int = 0
     placed_at: float = 0.0
@@ -104,6 +97,7 @@
         """Record that its next run has been sent to an agent."""
         self.phase = Phase.placed
         self.run_number += 1
+        self.run_count += 1
         self.earlier_start = self.latest_start
         self.latest_start = self.run_number
         self.agent = agent
@@ -280,7 +274,7 @@
 
     def ran_once(self) -> bool:
         """Return whether each task had a single run."""
-        return all(task.run_number == 1 for task in self.tasks)
+        return all(task.run_count == 1 for task in self.tasks)
 
     def task_at(self, step: int, position: int) -> Task | None:
         """Return a task by its step and its position in the step."""
@@ -365,10 +359,13 @@
     ]
 
 
-def make_tasks(steps: typing.Iterable[Step]) -> list[Task]:
-    """Return the tasks of all steps in the order of their indexes."""
+def make_tasks(steps: typing.Iterable[Step], run_number: int = 0) -> list[Task]:
+    """Return the tasks of all steps in the order of their indexes.
+
+    Their first runs follow `run_number`.
+    """
     return [
-        Task(step.first + position, step)
+        Task(step.first + position, step, run_number=run_number)
         for step in steps
         for position in range(step.count)
     ]
@@ -386,11 +383,3 @@
         )
         completed_at.append(started_at + step.estimate)
     return max(completed_at, default=0.0)
-
-
-def width_label(tasks: int) -> str:
-    """Return the class of a job's number of tasks, for metrics."""
-    for highest, label in _WIDTH_CLASSES:
-        if tasks <= highest:
-            return label
-    return _WIDEST
--- a/src/poplardrum/dispatch/records.py
+++ b/src/poplardrum/dispatch/records.py
@@ -124,9 +124,8 @@
 
     def make_tasks(self) -> list[jobs.Task]:
         """Return the tasks in the state in which the owner starts."""
-        tasks = jobs.make_tasks(self.steps)
+        tasks = jobs.make_tasks(self.steps, self.epoch * RUNS_PER_OWNER)
         for task in tasks:
-            task.run_number = self.epoch * RUNS_PER_OWNER
             task.failures = self.failure_counts.get(task.index, 0)
             task.checkpoint = self.checkpoints.get(task.index, '')
         for index in self.done_tasks:
--- a/src/poplardrum/dispatch/request_handler.py
+++ b/src/poplardrum/dispatch/request_handler.py
@@ -3,16 +3,17 @@
 import asyncio
 import logging
 import math
+import time
 import typing
 
 from aiohttp import web_request, web_response
 
 from poplardrum import errors, ids
 from poplardrum.dispatch import (
-    admission,
     clocks,
     coordinator,
-    estimates,
+    job_factory,
+    job_widths,
     jobs,
     metrics,
     reloading,
@@ -27,11 +28,7 @@
 logger = logging.getLogger(__name__)
 
 _DEFAULT_CLIENT_TIMEOUT_S: typing.Final = 10.0
-_RESPONSE_MARGIN_S: typing.Final = 0.03
 _MS_PER_S: typing.Final = 1000
-# A process that has just started does not know the whole fleet yet, so the
-# fleet counts as recovering.
-_STARTUP_PERIOD_S: typing.Final = 2.5
 _FIRST_CONFIGURATION_TIMEOUT_S: typing.Final = 0.5
 
 
@@ -51,13 +48,14 @@
         self.route_table = route_table
         self.coordinator = job_coordinator
         self.open_requests = 0
-        self.started_at = clocks.now()
-        self.peak_usable = 0
         self.metrics = metrics.Metrics()
         self.metrics.gauges = self._read_gauges
         if job_coordinator.placer.look_ahead is not None:
             job_coordinator.placer.look_ahead.count = self.metrics.increment
-        self.predictors = estimates.PredictorTable()
+        self.factory = job_factory.JobFactory(
+            job_coordinator.index, time.time()
+        )
+        self.predictors = self.factory.predictors
         self.stop_at = math.inf
         self.stopping = False
         # Raises a refusal while no job can be run anywhere.
@@ -126,10 +124,14 @@
         if not submission.best_effort:
             return await self._submit_stored(request, route, job_id, submission)
         self.check_open()
-        return await self._run_job(
-            self._make_job(request, route, job_id, submission, arrived_at),
-            request.transport,
+        client_timeout = job_api.read_client_timeout(
+            request.headers, _DEFAULT_CLIENT_TIMEOUT_S
         )
+        job = self.factory.make(
+            job_id, route, submission, client_timeout, arrived_at
+        )
+        self._refuse_beyond_stop(job.target_latency)
+        return await self._run_job(job, request.transport)
 
     async def _run_job(
         self, job: jobs.Job, transport: asyncio.BaseTransport | None
@@ -179,7 +181,7 @@
         if self.coordinator.placer.look_ahead is not None:
             self.metrics.observe(
                 'placement_wait_seconds',
-                jobs.width_label(len(job.tasks)),
+                job_widths.label(len(job.tasks)),
                 job.last_placed_at - job.arrived_at,
             )
         responses.log_job(job, outcome.value, now)
@@ -193,7 +195,7 @@
         )
         self.metrics.observe('unserved_seconds', job.queue, waited)
         self.metrics.increment(
-            'refused_by_width', jobs.width_label(len(job.tasks))
+            'refused_by_width', job_widths.label(len(job.tasks))
         )
 
     def _record_disconnect(self, job: jobs.Job) -> None:
@@ -271,7 +273,7 @@
             if not await self.stored_jobs.is_known(job_id):
                 raise
         await self.stored_jobs.submit(
-            job_id, record, client_timeout - _RESPONSE_MARGIN_S
+            job_id, record, client_timeout - job_factory.RESPONSE_MARGIN_S
         )
         self.metrics.increment('replies', 'stored')
         return responses.json_response(job_api.ACCEPTED_BODY)
@@ -293,49 +295,6 @@
         state = await self.stored_jobs.state(job_id)
         return responses.json_response(job_api.encode_state(state))
 
-    def _make_job(
-        self,
-        request: web_request.BaseRequest,
-        route: job_api.Route,
-        job_id: ids.JobId,
-        submission: job_api.Submission,
-        arrived_at: float,
-    ) -> jobs.Job:
-        steps = submissions.make_steps(submission)
-        estimate = jobs.critical_path_duration(steps)
-        client_timeout = job_api.read_client_timeout(
-            request.headers, _DEFAULT_CLIENT_TIMEOUT_S
-        )
-        predictor = self.predictors.get(route.name)
-        predicted_duration = predictor.predict(estimate, client_timeout)
-        nominal_duration = predicted_duration * predictor.scale()
-        target_latency = (
-            route.stretch * nominal_duration + route.base_latency_ms / _MS_PER_S
-        )
-        self._refuse_beyond_stop(target_latency)
-        return jobs.Job(
-            id=job_id,
-            queue=route.name,
-            urgency=route.urgency,
-            max_attempts=max(route.max_attempts, 1),
-            specification=submission.specification,
-            service=route.service,
-            steps=steps,
-            estimate=estimate,
-            client_timeout=client_timeout,
-            predicted_duration=predicted_duration,
-            has_prediction=predictor.is_trained(),
-            tasks=jobs.make_tasks(steps),
-            arrived_at=arrived_at,
-            target_latency=target_latency,
-            refuse_at=arrived_at
-            + self._longest_wait(
-                target_latency, predicted_duration, client_timeout
-            ),
-            deadline=arrived_at + client_timeout - _RESPONSE_MARGIN_S,
-            outcome=asyncio.get_running_loop().create_future(),
-        )
-
     def _refuse_beyond_stop(self, target_latency: float) -> None:
         """Refuse a job that cannot be over before this entry stops."""
         if clocks.now() + target_latency > self.stop_at:
@@ -345,26 +304,6 @@
                 retry_after=1,
             )
 
-    def _longest_wait(
-        self,
-        target_latency: float,
-        predicted_duration: float,
-        client_timeout: float,
-    ) -> float:
-        index = self.coordinator.index
-        usable = index.usable_count()
-        self.peak_usable = max(self.peak_usable, usable)
-        is_starting = clocks.now() - self.started_at < _STARTUP_PERIOD_S
-        if is_starting and not usable:
-            return admission.wait_for_first_agents(client_timeout)
-        return admission.longest_wait(
-            target_latency,
-            predicted_duration,
-            client_timeout,
-            index.min_slowness(),
-            is_starting or admission.is_recovering(usable, self.peak_usable),
-        )
-
 
 def _allow() -> None:
     """Refuse nothing."""
--- a/src/poplardrum/dispatch/responses.py
+++ b/src/poplardrum/dispatch/responses.py
@@ -79,7 +79,7 @@
         outcome=outcome,
         queue=job.queue,
         tasks=len(job.tasks),
-        runs=sum(task.run_number for task in job.tasks),
+        runs=sum(task.run_count for task in job.tasks),
         time_ms=_to_ms(now - job.arrived_at),
         aim_ms=_to_ms(job.target_latency),
         first_start_ms=_to_ms(job.started_at - job.arrived_at),
--- a/tools/simulation/processes.py
+++ b/tools/simulation/processes.py
@@ -14,6 +14,7 @@
     links,
     messages,
     polling,
+    run_numbers,
     stale_requests,
     timing,
 )
@@ -32,6 +33,8 @@
 _PORT: typing.Final = 7720
 _DEADLINE_MARGIN_S: typing.Final = 0.03
 _LONGEST_WAIT_S: typing.Final = 0.4
+# When a scenario begins, in seconds since 1970.
+_TIME_OF_DAY: typing.Final = 1.8e9
 _STATUS_BY_VERDICT: typing.Final = {
     errors.Verdict.not_run: 503,
     errors.Verdict.may_have_run: 504,
@@ -72,6 +75,7 @@
                 ],
             )
         )
+        self.run_numbers = run_numbers.RunNumbers(_TIME_OF_DAY + simulation.now)
         self.stale_requests = stale_requests.StaleRequests(
             self.coordinator.continuity, RESUBMISSION_S
         )
@@ -128,7 +132,7 @@
             client_timeout=request.client_timeout,
             predicted_duration=request.duration,
             has_prediction=True,
-            tasks=jobs.make_tasks([step]),
+            tasks=jobs.make_tasks([step], self.run_numbers.next_attempt()),
             arrived_at=now,
             target_latency=2 * request.duration,
             refuse_at=now + _LONGEST_WAIT_S,
