--- a/src/poplardrum/standins/worker.py
+++ b/src/poplardrum/standins/worker.py
@@ -74,6 +74,8 @@
         # those that are carried out seconds later and get none.
         self.lost_share = 0.0
         self.late_share = 0.0
+        # While true, starts are answered with 503 and not carried out.
+        self.is_unhealthy = False
         self.crashing_tasks = CrashingTasks()
         # While true, connections are reset and no heartbeats are sent.
         self.is_crashed = False
@@ -173,6 +175,8 @@
 
     async def _start(self, request: web.Request) -> web.Response:
         body = await request.json()
+        if self.is_unhealthy:
+            return self._reply({}, status=503)
         now = time.monotonic()
         self.specifications.add(body['Specification'])
         result = self.endpoint.start(
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -22,6 +22,7 @@
     faults,
     partial_cuts,
     proxy,
+    targeted,
 )
 
 _ENTRY_COUNT: typing.Final = 3
@@ -41,14 +42,21 @@
     """A site with callers, fault injection and checks."""
 
     def __init__(
-        self, seed: int, host: int, *, has_cuts_only: bool = False
+        self,
+        seed: int,
+        host: int,
+        *,
+        has_cuts_only: bool = False,
+        is_targeted: bool = False,
     ) -> None:
         """Prepare the site; `host` is the last octet of its first address.
 
         `seed` initializes all random generators. With `has_cuts_only`, no other
         faults keep endpoints from work, so that few leases lapse by themselves.
+        One that `is_targeted` runs the scenarios of `targeted` once instead.
         """
         self.has_cuts_only = has_cuts_only
+        self.is_targeted = is_targeted
         self.random = random.Random(seed)
         self.ledger = checks.Ledger()
         self.site = site.LocalSite(
@@ -122,6 +130,14 @@
         self.partial_cuts = partial_cuts.PartialCuts(
             self.faults, self.store_proxies, random.Random(seed)
         )
+        self.targeted_faults = targeted.TargetedFaults(
+            self.site,
+            self.proxies,
+            self.store_proxies,
+            self.ledger,
+            self.faults.record,
+            random.Random(seed),
+        )
 
     async def run(self, seconds: float, keep: pathlib.Path | None) -> int:
         """Inject faults for `seconds` and return the number of violations.
@@ -136,9 +152,10 @@
             await stack.enter_async_context(self.site)
             await self._check_entries_serve(_CALLER_COUNT)
             stop_at = time.monotonic() + seconds
+            callers_in_use = [] if self.is_targeted else self.callers
             await asyncio.gather(
                 self._inject_faults(stop_at),
-                *(each.run(stop_at + _FAULT_FREE_S) for each in self.callers),
+                *(each.run(stop_at + _FAULT_FREE_S) for each in callers_in_use),
             )
             await self._check_entries_serve(_CALLER_COUNT + 1)
             await self._check_stored_jobs()
@@ -149,6 +166,9 @@
         return len(self.ledger.violations)
 
     async def _inject_faults(self, stop_at: float) -> None:
+        if self.is_targeted:
+            await self.targeted_faults.run()
+            return
         if self.has_cuts_only:
             await self.partial_cuts.run(stop_at)
             return
@@ -260,10 +280,16 @@
     parser.add_argument('--host', type=int, default=100)
     parser.add_argument('--keep', type=pathlib.Path)
     parser.add_argument('--cuts-only', action='store_true')
+    parser.add_argument('--targeted', action='store_true')
     options = parser.parse_args(arguments)
     failed = 0
     for seed in range(options.seed, options.seed + options.count):
-        soak = Soak(seed, options.host, has_cuts_only=options.cuts_only)
+        soak = Soak(
+            seed,
+            options.host,
+            has_cuts_only=options.cuts_only,
+            is_targeted=options.targeted,
+        )
         keep = options.keep / str(seed) if options.keep else None
         violations = asyncio.run(soak.run(options.seconds, keep))
         failed += bool(violations)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -8,6 +8,8 @@
 from tools.soak import crash_checks
 
 _DRAIN_TIMEOUT_S: typing.Final = 2.0
+# No task starts later than this after the acknowledged cancel of its job.
+_CANCEL_BOUND_S: typing.Final = 3.0
 
 
 class Ledger:
@@ -23,6 +25,8 @@
         )
         # Number of tasks of each accepted stored job.
         self.stored_jobs: dict[str, int] = {}
+        # When cancels were acknowledged, in monotonic seconds, by job.
+        self.cancelled_at: dict[str, float] = {}
         # Tasks of stored jobs whose completion was, or may have been,
         # acknowledged.
         self.acknowledged_tasks: set[str] = set()
@@ -46,6 +50,10 @@
         at = time.monotonic() - self.started_at
         self.violations.append(f'{at:.3f} s {rule}: {details}')
 
+    def record_cancel(self, job: str) -> None:
+        """Record that the cancel of a job was acknowledged now."""
+        self.cancelled_at.setdefault(job, time.monotonic())
+
     def check_start(
         self,
         endpoint: 'WatchedEndpoint',
@@ -67,10 +75,7 @@
             self.record_violation('capacity', f'{len(endpoint.running)} tasks')
         if now > endpoint.drain_deadline:
             self.record_violation('start at a draining endpoint', str(run_id))
-        if run_id.task in self.acknowledged_tasks:
-            self.record_violation(
-                'start after an acknowledged completion', str(run_id)
-            )
+        self._check_wanted(run_id, now)
         for other in self.endpoints:
             other.advance(now)
             other.note_restart(run_id)
@@ -80,6 +85,16 @@
             if same_task_runs > (other is endpoint):
                 self.record_violation('two runs at once', str(run_id))
 
+    def _check_wanted(self, run_id: leased_endpoint.RunId, now: float) -> None:
+        """Check that a task is not over, and its job not cancelled for long."""
+        job = run_id.task.partition('.')[0]
+        if now > self.cancelled_at.get(job, now) + _CANCEL_BOUND_S:
+            self.record_violation('start after a cancel', str(run_id))
+        if run_id.task in self.acknowledged_tasks:
+            self.record_violation(
+                'start after an acknowledged completion', str(run_id)
+            )
+
     def check_zone(
         self,
         endpoint: 'WatchedEndpoint',
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import enum
+import time
 import typing
 
 from poplardrum import ini
@@ -48,6 +49,10 @@
         self.mode = LinkMode.open
         self.cut_peers: frozenset[bytes] = frozenset()
         self.writers: set[asyncio.StreamWriter] = set()
+        # When a request with all of these parts last came by, in monotonic
+        # seconds.
+        self.watched: tuple[bytes, ...] = ()
+        self.watched_at = 0.0
 
     async def serve(self) -> asyncio.Server:
         """Start listening and return the server."""
@@ -88,6 +93,7 @@
                 chunk = await reader.read(_CHUNK_BYTES)
                 if cut_mode is LinkMode.cut_up and not connection.greeting:
                     connection.greeting = chunk
+                self._note(chunk)
                 while self._is_cut(cut_mode, connection):
                     await asyncio.sleep(_POLL_INTERVAL_S)
                 if self.mode is LinkMode.delay:
@@ -98,6 +104,10 @@
                 await writer.drain()
         writer.transport.abort()
 
+    def _note(self, chunk: bytes) -> None:
+        if self.watched and all(part in chunk for part in self.watched):
+            self.watched_at = time.monotonic()
+
     def _is_cut(self, cut_mode: LinkMode, connection: _Connection) -> bool:
         return self.mode in {LinkMode.cut, cut_mode} or any(
             name in connection.greeting for name in self.cut_peers
