Release the stored jobs of an entry that stops as planned

Cause: an entry that stops said nothing of the jobs that it left. Others took them over as those of an owner behind a cut: 6 s of announcement, 7.35 s of absence, a scan.

At the end it stops what runs and releases the rest once the agents have reported. Others take released jobs over at their next scan, the preferred one first, never the entry that released them. The flag is written after all runs are over and under the record's condition, so no task runs twice.

Ruled out: a release of all at the SIGTERM (stops runs that would end in time), a shorter announcement (can't tell an owner that left from one that was cut off).

--- a/src/poplardrum/dispatch/entry.py
+++ b/src/poplardrum/dispatch/entry.py
@@ -11,6 +11,7 @@
     clocks,
     coordinator,
     entry_services,
+    job_release,
     lifecycle,
     links,
     membership,
@@ -67,16 +68,24 @@
 
 
 async def _drain(
-    handler: request_handler.RequestHandler, grace_period: float
+    handler: request_handler.RequestHandler,
+    release: job_release.JobRelease,
+    grace_period: float,
 ) -> None:
-    """Wait until open requests are done and the load balancer sends no more."""
+    """Wait until open requests are done and the load balancer sends no more.
+
+    Stored jobs that are not over before the end are released.
+    """
     started_at = clocks.now()
+    stop_at = started_at + grace_period - _SHUTDOWN_RESERVE_S
     handler.drain(started_at + grace_period - _EXIT_MARGIN_S)
-    while clocks.now() < started_at + grace_period - _SHUTDOWN_RESERVE_S:
-        elapsed = clocks.now() - started_at
-        if elapsed > _BALANCER_DETECTION_S and not handler.is_busy():
-            return
-        await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
+    with contextlib.ExitStack() as stack:
+        stack.callback(asyncio.ensure_future(release.run(stop_at)).cancel)
+        while clocks.now() < stop_at:
+            elapsed = clocks.now() - started_at
+            if elapsed > _BALANCER_DETECTION_S and not handler.is_busy():
+                return
+            await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
 
 
 async def run(settings: reloading.Settings) -> None:
@@ -166,4 +175,4 @@
         )
         await stopping.wait()
         logger.info('stopping')
-        await _drain(handler, settings.config.grace)
+        await _drain(handler, services.release, settings.config.grace)
--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -56,6 +56,9 @@
         self.finished_jobs: collections.OrderedDict[
             ids.JobId, records.State
         ] = collections.OrderedDict()
+        # Set when this entry is about to stop, and starts no more stored tasks.
+        self.is_leaving = False
+        self.released_jobs: set[ids.JobId] = set()
         self.unclaimed = unclaimed_completions.UnclaimedCompletions()
         self.intake = completion_intake.CompletionIntake(
             job_coordinator, self.unclaimed
@@ -109,6 +112,7 @@
         owned = self.owned_jobs.get(job.id)
         return (
             owned is not None
+            and not self.is_leaving
             and owned.confirmed
             and not owned.unstored_losses
             and self.can_own_jobs()
@@ -233,6 +237,11 @@
             popped.append(job)
         return popped
 
+    def release(self, owned: owned_jobs.OwnedJob) -> None:
+        """Leave a job of which nothing runs to the next owner."""
+        owned.pending.is_released = True
+        self.background.spawn(self._release(owned))
+
     def relinquish(self, owned: owned_jobs.OwnedJob) -> None:
         """Stop running a job that another entry has taken over."""
         self.owned_jobs.pop(owned.job.id, None)
@@ -263,6 +272,18 @@
             if agent is not None:
                 unclaimed_completions.acknowledge([(agent, key[1])])
 
+    async def _release(self, owned: owned_jobs.OwnedJob) -> None:
+        """Store that a job may have another owner; then stop tracking it."""
+        if await self._store(owned) and not owned.job.outcome.done():
+            self.released_jobs.add(owned.job.id)
+            self.relinquish(owned)
+            log_events.emit(
+                logger,
+                'job released',
+                job=owned.job.id,
+                epoch=owned.pending.record.epoch,
+            )
+
     async def _store_loss(self, owned: owned_jobs.OwnedJob) -> None:
         """Store that a run was given up; then its task may start again."""
         if await self._store(owned):
--- a/src/poplardrum/dispatch/record_writer.py
+++ b/src/poplardrum/dispatch/record_writer.py
@@ -52,7 +52,8 @@
     `revision` is that of the last known write, 0 before the first. The
     record is `uncertain` while an unanswered write may still take
     effect. `node` is that of the owner. `has_begun` is set once a task of the
-    job has started. `stored_marker` is the last known content of the marker.
+    job has started. `stored_marker` is the last known content of the marker. A record
+    that `is_released` waits for its next owner.
     """
 
     job: ids.JobId
@@ -65,6 +66,7 @@
     node: str = ''
     has_begun: bool = False
     stored_marker: bytes | None = None
+    is_released: bool = False
     waiters: list['asyncio.Future[WriteResult]'] = dataclasses.field(
         default_factory=list,
     )
@@ -87,7 +89,9 @@
     def marker_content(self) -> bytes:
         """Return what the marker is to say now."""
         return records.encode_marker(
-            records.MarkerContent(self.node, self.record.queue, self.has_begun)
+            records.MarkerContent(
+                self.node, self.record.queue, self.has_begun, self.is_released
+            )
         )
 
     def changes(self) -> list[store.Change]:
--- a/src/poplardrum/dispatch/records.py
+++ b/src/poplardrum/dispatch/records.py
@@ -137,12 +137,14 @@
     """What the marker of an unfinished job says.
 
     `node` is that of the owner. The queue is empty in markers of the previous
-    version. `has_begun` may lag behind the first start of a task.
+    version. `has_begun` may lag behind the first start of a task. An owner that has
+    ended its runs and will start no more has set `is_released`.
     """
 
     node: str
     queue: str = ''
     has_begun: bool = False
+    is_released: bool = False
 
 
 class Marker(typing.NamedTuple):
--- a/src/poplardrum/dispatch/stored_job_services.py
+++ b/src/poplardrum/dispatch/stored_job_services.py
@@ -3,6 +3,7 @@
 from poplardrum.dispatch import (
     cancel_reads,
     coordinator,
+    job_release,
     lifecycle,
     membership,
     messages,
@@ -47,6 +48,7 @@
         self.takeover = takeover.Takeover(
             record_store, self.ownership, owner_tracker
         )
+        self.release = job_release.JobRelease(self.ownership)
         self.stored_jobs = stored_jobs.StoredJobs(
             record_store,
             self.ownership,
--- a/src/poplardrum/dispatch/stored_jobs.py
+++ b/src/poplardrum/dispatch/stored_jobs.py
@@ -63,6 +63,7 @@
         if (
             job in job_ownership.owned_jobs
             or job in job_ownership.finished_jobs
+            or job in job_ownership.released_jobs
         ):
             return
         creation = self.creations.get(job)
--- a/src/poplardrum/dispatch/takeover.py
+++ b/src/poplardrum/dispatch/takeover.py
@@ -38,6 +38,8 @@
         """Create a tracker without members."""
         self.members: dict[str, membership.Member] = {}
         self.missing_since: dict[ids.Incarnation, float] = {}
+        # Since when jobs that wait for a takeover are known to be released.
+        self.released_since: dict[ids.JobId, float] = {}
         self.last_read_at = -math.inf
         self.nodes: dict[ids.Incarnation, str] = {}
 
@@ -81,21 +83,34 @@
         )
         return now - since - timeout
 
-    def preferred_owner(self, job: ids.JobId) -> ids.Incarnation | None:
-        """Return the entry that may take over a job first."""
+    def released_for(self, job: ids.JobId, now: float) -> float:
+        """Return for how long the owner of a job is known to have released it."""
+        return now - self.released_since.setdefault(job, now)
+
+    def preferred_owner(
+        self, job: ids.JobId, owner: ids.Incarnation | None = None
+    ) -> ids.Incarnation | None:
+        """Return the entry that may take over a job of `owner` first."""
         return max(
-            self.announced(),
+            self.announced().difference((owner,)),
             key=lambda member: hashlib.sha256(
                 f'{member}{job}'.encode(),
             ).digest(),
             default=None,
         )
 
-    def retain_only(self, owners: typing.Collection[ids.Incarnation]) -> None:
+    def retain_only(
+        self,
+        owners: typing.Collection[ids.Incarnation],
+        released_jobs: typing.Collection[ids.JobId] = (),
+    ) -> None:
         """Remove all owners but these, which still have jobs.
 
-        The nodes of announced entries are kept as well.
+        The nodes of announced entries are kept as well. Of the jobs, only those that
+        are still released are kept.
         """
+        for job in set(self.released_since).difference(released_jobs):
+            self.released_since.pop(job)
         for owner in set(self.missing_since).difference(owners):
             self.missing_since.pop(owner)
         for owner in set(self.nodes).difference(owners, self.announced()):
@@ -177,7 +192,10 @@
         markers = self._decode_markers(
             await self.store.list(records.OWNED_PREFIX)
         )
-        self.owner_tracker.retain_only({marker.owner for marker in markers})
+        self.owner_tracker.retain_only(
+            {marker.owner for marker in markers},
+            {marker.job for marker in markers if marker.content.is_released},
+        )
         if any(marker.owner != self._incarnation() for marker in markers):
             # A watch may silently deliver no changes, so the members are read
             # here.
@@ -208,17 +226,17 @@
         return markers
 
     def _can_take_over(self, marker: records.Marker, now: float) -> bool:
-        if self.ownership.has_record(marker.job):
+        if self.ownership.is_leaving or self.ownership.has_record(marker.job):
             return False
         if marker.owner == self._incarnation():
             return True
         gone_for = self.owner_tracker.gone_for(marker.owner, now)
-        if (
-            self.owner_tracker.preferred_owner(marker.job)
-            != self._incarnation()
-        ):
+        if marker.content.is_released:
+            gone_for = self.owner_tracker.released_for(marker.job, now)
+        preferred = self.owner_tracker.preferred_owner(marker.job, marker.owner)
+        if preferred != self._incarnation():
             gone_for -= _FALLBACK_DELAY_S
-        return gone_for > 0
+        return gone_for >= 0
 
     async def _read_record(
         self,
