--- a/src/poplardrum/dispatch/entry_evacuations.py
+++ b/src/poplardrum/dispatch/entry_evacuations.py
@@ -2,9 +2,7 @@
 
 from poplardrum import errors
 from poplardrum.dispatch import (
-    clocks,
     evacuation_reader,
-    evacuations,
     lifecycle,
     links,
     request_handler,
@@ -20,14 +18,12 @@
         reader: evacuation_reader.EvacuationReader,
         handler: request_handler.RequestHandler,
         agent_links: links.AgentLinks,
-        bound: float,
     ) -> None:
-        """Act on what `reader` finds; a change holds after `bound` seconds."""
+        """Act on what `reader` finds."""
         self.reader = reader
         self.handler = handler
         self.coordinator = handler.coordinator
         self.agent_links = agent_links
-        self.bound = bound
 
     def handle_change(self) -> None:
         """Apply a changed set of zones to placement, agents and waiting jobs."""
@@ -54,7 +50,7 @@
         return errors.refusal(
             errors.Code.unavailable,
             'all availability zones are evacuated',
-            retry_after=self.bound,
+            retry_after=self.reader.bound,
         )
 
 
@@ -68,22 +64,10 @@
 
     There is none where zones are never evacuated.
     """
-    if config.evacuation_bound is None:
+    reader = evacuation_reader.create(config, kv_store, handler.metrics)
+    if reader is None:
         return []
-    reader = evacuation_reader.EvacuationReader(
-        evacuations.Evacuations(config.zones, clocks.now()),
-        kv_store,
-        config.evacuation_bound,
-    )
-    entry_evacuations = EntryEvacuations(
-        reader, handler, agent_links, config.evacuation_bound
-    )
+    entry_evacuations = EntryEvacuations(reader, handler, agent_links)
     reader.on_change = entry_evacuations.handle_change
     handler.check_open = entry_evacuations.check_open
-    other_gauges = handler.metrics.gauges
-
-    def gauges() -> dict[str, float]:
-        return other_gauges() | reader.gauges()
-
-    handler.metrics.gauges = gauges
     return [('evacuated zones', reader.watch)]
--- a/src/poplardrum/dispatch/evacuation_reader.py
+++ b/src/poplardrum/dispatch/evacuation_reader.py
@@ -6,8 +6,8 @@
 import typing
 
 from poplardrum import errors, log_events
-from poplardrum.dispatch import clocks, evacuations, messages
-from poplardrum.platform import evacuation_keys, store
+from poplardrum.dispatch import clocks, evacuations, messages, metrics
+from poplardrum.platform import evacuation_keys, settings_file, store
 
 logger = logging.getLogger(__name__)
 
@@ -22,6 +22,31 @@
 _MAX_POLL_BACKOFF_S: typing.Final = 1.0
 
 
+def create(
+    config: settings_file.ProcessSettings,
+    kv_store: store.Store,
+    served: metrics.Metrics,
+) -> 'EvacuationReader | None':
+    """Return the reader of a process, and serve its gauges beside the others.
+
+    There is none where zones are never evacuated.
+    """
+    if config.evacuation_bound is None:
+        return None
+    reader = EvacuationReader(
+        evacuations.Evacuations(config.zones, clocks.now()),
+        kv_store,
+        config.evacuation_bound,
+    )
+    other_gauges = served.gauges
+
+    def gauges() -> dict[str, float]:
+        return other_gauges() | reader.gauges()
+
+    served.gauges = gauges
+    return reader
+
+
 class EvacuationReader:
     """Keep the view of this process up to date; report each change."""
 
@@ -34,6 +59,7 @@
         """Read the store; a change has to hold within `bound` seconds."""
         self.view = view
         self.store = kv_store
+        self.bound = bound
         self.interval = min(_BOUND_FRACTION * bound, _MAX_INTERVAL_S)
         self.on_change: typing.Callable[[], object] = _do_nothing
         self.odd_keys: tuple[str, ...] = ()
--- a/tests/test_evacuated_entries.py
+++ b/tests/test_evacuated_entries.py
@@ -39,7 +39,7 @@
             'front-1', ids.new_incarnation(), self.coordinator
         )
         self.subject = entry_evacuations.EntryEvacuations(
-            self.reader, handler, self.agent_links, BOUND_S
+            self.reader, handler, self.agent_links
         )
         self.reader.on_change = self.subject.handle_change
         self.other = fleet.Agent('side-2', 'erie', ids.new_incarnation())
