--- a/src/poplardrum/dispatch/jobs.py
+++ b/src/poplardrum/dispatch/jobs.py
@@ -75,7 +75,8 @@
     `run_count` counts the runs that were sent from here. `latest_start` is the number
     of the latest one that may have started here, 0 if there is none; before its
     current run that was `earlier_start`. `normalized_duration` is the duration of its
-    last run, in seconds on an endpoint of slowness 1. The task `was_moved` if its run was stopped as a straggler to start it elsewhere.
+    last run, in seconds on an endpoint of slowness 1. The task `was_moved` if its
+    run was stopped as a straggler to start it elsewhere.
     """
 
     index: int
--- a/src/poplardrum/dispatch/ownership.py
+++ b/src/poplardrum/dispatch/ownership.py
@@ -78,8 +78,8 @@
     ) -> owned_jobs.OwnedJob:
         """Own a job whose record is stored, and run it.
 
-        It had no cancel request at `cancel_checked_at`. If this entry cannot own jobs now, another one may have taken the job
-        over since its record was stored.
+        It had no cancel request at `cancel_checked_at`. If this entry cannot own
+        jobs now, another one may have taken the job over since its record was stored.
         """
         owned = owned_jobs.OwnedJob(job, pending, confirmed=self.can_own_jobs())
         self.cancels.add_job(
